--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+.PHONY: test ci generate docs fmt fuzz
+
+test:
+	go test ./...
+
+ci:
+	bash .ci/run
+
+generate:
+	_scripts/generate.sh
+
+docs:
+	go run ./_scripts/gendocs
+
+fmt:
+	go tool gofumpt -w $$(git ls-files -- '*.go' ':!:*.pb.go')
+
+fuzz:
+	_scripts/fuzz.sh 30s
--- /dev/null
+++ b/_scripts/check-generated.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Fails when committed generated files differ from what the generators make.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tmp=$(mktemp -d)
+trap 'rm -rf "$tmp"' EXIT
+if ! command -v protoc >/dev/null; then
+	(apt-get update -qq && apt-get install -y -qq protobuf-compiler) >/dev/null 2>&1 || true
+fi
+if command -v protoc >/dev/null; then
+	_scripts/generate.sh "$tmp"
+	diff -u pkg/schema/catkindyke.pb.go "$tmp/pkg/schema/catkindyke.pb.go"
+	diff -u pkg/schema/catkindyke_drpc.pb.go "$tmp/pkg/schema/catkindyke_drpc.pb.go"
+else
+	echo "protoc is not installed and cannot be; schema not checked" >&2
+	exit 1
+fi
+go run ./_scripts/gendocs -out "$tmp/cli"
+diff -ru docs/cli "$tmp/cli"
--- /dev/null
+++ b/cmd/catkindyke/commander/demo.go
@@ -0,0 +1,234 @@
+package commander
+
+import (
+	"context"
+	_ "embed"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/logger"
+	"catkindyke/pkg/parser"
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/runner"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+//go:embed demo_base.yaml
+var demoBase []byte
+
+// errWrongAnswers says that the demo's own checks failed.
+var errWrongAnswers = errors.New("the demo saw wrong answers")
+
+const (
+	// demoServersPerZone is the number of backend servers of each service in each availability zone.
+	demoServersPerZone = 2
+	// demoStartTimeout bounds the wait until all hosts are ready.
+	demoStartTimeout = 30 * time.Second
+)
+
+func (c *Commander) demoCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	duration := fs.Duration("duration", 0, "send traffic for this time and exit, as a duration such as 5s; 0 runs until interrupted")
+	hosts := fs.Int("hosts", 8, "number of entry hosts")
+	level := fs.String("log-level", "error", "lowest level logged: debug, info, warn or error")
+	return c.command(ffcli.Command{
+		Name: "demo", ShortUsage: "catkindyke demo [flags]",
+		ShortHelp: "Runs a whole deployment in one process on the loopback interface.", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 || *hosts < 1 || *duration < 0 {
+				return usageError("demo takes no arguments, at least 1 host and no negative duration")
+			}
+			d, err := startDemo(ctx, *hosts, *level, c)
+			if err != nil {
+				return err
+			}
+			defer d.stop()
+			return d.run(ctx, c, *duration)
+		},
+	})
+}
+
+// demo is a deployment in one process.
+type demo struct {
+	platform *emulator.Platform
+	storeURL string
+	hosts    []*runner.Host
+	backends map[string]*emulator.Backend
+	servers  []*http.Server
+	keys     map[string]string
+	cfg      *schema.Config
+}
+
+func startDemo(ctx context.Context, hosts int, level string, c *Commander) (*demo, error) {
+	d := &demo{
+		platform: emulator.NewPlatform(emulator.Budget{ReadsPerSecond: 2000, WritesPerSecond: 300}),
+		backends: make(map[string]*emulator.Backend), keys: make(map[string]string),
+	}
+	cfg, err := parser.Parse("demo_base.yaml", demoBase)
+	if err != nil {
+		return nil, err
+	}
+	d.cfg = cfg
+	address, err := d.listen(d.platform)
+	if err != nil {
+		return nil, err
+	}
+	d.storeURL = "http://" + address
+	if err := d.startBackends(); err != nil {
+		return nil, err
+	}
+	if err := d.publish(ctx); err != nil {
+		return nil, err
+	}
+	if err := d.startHosts(hosts, level, c); err != nil {
+		return nil, err
+	}
+	return d, d.waitReady(ctx)
+}
+
+// listen serves a handler on a free port and returns its address.
+func (d *demo) listen(handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+func (d *demo) startBackends() error {
+	for _, svc := range d.cfg.GetServices() {
+		for _, region := range d.cfg.GetRegions() {
+			for _, zone := range region.GetAvailabilityZones() {
+				for n := range demoServersPerZone {
+					name := fmt.Sprintf("%s-%s-%d", svc.GetName(), zone, n)
+					b := emulator.NewBackend(emulator.BackendConfig{
+						Name: name, Slots: int(svc.GetSlots()),
+						ServiceTime: time.Duration(svc.GetServiceTimeMs()) * time.Millisecond,
+					})
+					address, err := d.listen(b)
+					if err != nil {
+						return err
+					}
+					d.backends[name] = b
+					svc.BackendServers = append(svc.BackendServers, &schema.BackendServer{
+						Name: name, Address: address, Region: region.GetName(), AvailabilityZone: zone,
+					})
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// publish puts the configuration and one key for each workspace in force.
+func (d *demo) publish(ctx context.Context) error {
+	p := publisher.New(storeclient.New(storeclient.Config{BaseURL: d.storeURL}))
+	value, err := encodeConfig(d.cfg)
+	if err != nil {
+		return err
+	}
+	if _, err := p.Write(ctx, replicator.Config, value, 0, "demo"); err != nil {
+		return err
+	}
+	for _, w := range d.cfg.GetWorkspaces() {
+		key, err := grantKey(ctx, p, w.GetName(), "demo")
+		if err != nil {
+			return err
+		}
+		d.keys[w.GetName()] = key
+	}
+	return nil
+}
+
+func (d *demo) startHosts(count int, level string, c *Commander) error {
+	type place struct{ region, zone string }
+	var places []place
+	for _, region := range d.cfg.GetRegions() {
+		for _, zone := range region.GetAvailabilityZones() {
+			places = append(places, place{region.GetName(), zone})
+		}
+	}
+	for n := range count {
+		at := places[n%len(places)]
+		name := fmt.Sprintf("host-%d", n)
+		log, err := logger.New(logger.Config{Output: c.stderr, Level: level, Host: name})
+		if err != nil {
+			return usageError("%v", err)
+		}
+		cfg := runner.Config{Name: name, Region: at.region, AvailabilityZone: at.zone, StoreURL: d.storeURL, Log: log}
+		const free = "127.0.0.1:0"
+		if err := listenAll(&cfg, free, free, free); err != nil {
+			return err
+		}
+		d.platform.SetHost(storeclient.Host{
+			Name: name, State: storeclient.HostLive, Region: at.region, AvailabilityZone: at.zone,
+			Address: cfg.Caller.Addr().String(), PeerAddress: cfg.Peer.Addr().String(),
+		})
+		host, err := runner.Start(cfg)
+		if err != nil {
+			return err
+		}
+		d.hosts = append(d.hosts, host)
+	}
+	return nil
+}
+
+// waitReady waits until each host has the configuration and keys and hears all others.
+func (d *demo) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoStartTimeout)
+	defer cancel()
+	for _, h := range d.hosts {
+		for !d.ready(h) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("host %s is not ready: %w", h.Snapshot().Self().Name, ctx.Err())
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (d *demo) ready(h *runner.Host) bool {
+	s := h.Snapshot()
+	return s.Ready() && s.Versions()[replicator.Keys] >= uint64(len(d.keys)) && len(s.Hosts()) == len(d.hosts)
+}
+
+func (d *demo) run(ctx context.Context, c *Commander, duration time.Duration) error {
+	first := d.hosts[0]
+	fmt.Fprintf(c.stdout, "lookup: http://%s/v1/lookup?service=dispatch\n", first.CallerAddress())
+	fmt.Fprintf(c.stdout, "operator: %s\nstore: %s\n", first.OperatorAddress(), d.storeURL)
+	workspace := d.cfg.GetWorkspaces()[0].GetName()
+	fmt.Fprintf(c.stdout, "curl -i -H 'Catkindyke-Key: %s' http://%s/dispatch/routes\n", d.keys[workspace], first.CallerAddress())
+	if duration == 0 {
+		<-ctx.Done()
+		return nil
+	}
+	summary := newLoad(d).run(ctx, duration)
+	fmt.Fprint(c.stdout, summary)
+	if summary.wrong() {
+		return errWrongAnswers
+	}
+	return nil
+}
+
+func (d *demo) stop() {
+	for _, h := range d.hosts {
+		h.Kill()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/cmd/catkindyke/commander/key.go
@@ -0,0 +1,126 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+)
+
+// errNoSuchKey says that no key has the label.
+var errNoSuchKey = errors.New("no key with this workspace and label")
+
+func (c *Commander) keyCommand() *ffcli.Command {
+	return c.command(ffcli.Command{
+		Name: "key", ShortUsage: "catkindyke key grant|withdraw|list [flags]",
+		ShortHelp:   "Grants, withdraws and lists workspace keys.",
+		Subcommands: []*ffcli.Command{c.keyGrantCommand(), c.keyWithdrawCommand(), c.keyListCommand()},
+	})
+}
+
+func (c *Commander) keyGrantCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("grant", flag.ContinueOnError)
+	store := storeFlag(fs)
+	return c.command(ffcli.Command{
+		Name: "grant", ShortUsage: "catkindyke key grant [flags] WORKSPACE LABEL",
+		ShortHelp: "Makes a new key for a workspace and prints it once.", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return usageError("key grant takes a workspace and a label")
+			}
+			key, err := grantKey(ctx, publisher.New(newStore(*store)), args[0], args[1])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.stdout, key)
+			return nil
+		},
+	})
+}
+
+// grantKey writes a new key's hash to the store and returns the key.
+func grantKey(ctx context.Context, p *publisher.Publisher, workspace, label string) (string, error) {
+	var raw [24]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", err
+	}
+	key := base64.RawURLEncoding.EncodeToString(raw[:])
+	entry := &schema.Key{Sha256: authenticator.Hash(key), Workspace: workspace, Label: label}
+	_, err := publisher.Change(ctx, p, replicator.Keys, "grant "+workspace+" "+label, func(keys *schema.Keys) error {
+		for _, k := range keys.GetKeys() {
+			if k.GetWorkspace() == workspace && k.GetLabel() == label {
+				return fmt.Errorf("workspace %s already has a key with label %q", workspace, label)
+			}
+		}
+		keys.Keys = append(keys.Keys, entry)
+		return nil
+	})
+	return key, err
+}
+
+func (c *Commander) keyWithdrawCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("withdraw", flag.ContinueOnError)
+	store := storeFlag(fs)
+	return c.command(ffcli.Command{
+		Name: "withdraw", ShortUsage: "catkindyke key withdraw [flags] WORKSPACE LABEL",
+		ShortHelp: "Withdraws a key.", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return usageError("key withdraw takes a workspace and a label")
+			}
+			head, err := publisher.Change(ctx, publisher.New(newStore(*store)), replicator.Keys,
+				"withdraw "+args[0]+" "+args[1], func(keys *schema.Keys) error {
+					n := len(keys.GetKeys())
+					keys.Keys = slices.DeleteFunc(keys.Keys, func(k *schema.Key) bool {
+						return k.GetWorkspace() == args[0] && k.GetLabel() == args[1]
+					})
+					if len(keys.Keys) == n {
+						return errNoSuchKey
+					}
+					return nil
+				})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.stdout, "version %d accepted\n", head.GetVersion())
+			return nil
+		},
+	})
+}
+
+func (c *Commander) keyListCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("list", flag.ContinueOnError)
+	store := storeFlag(fs)
+	return c.command(ffcli.Command{
+		Name: "list", ShortUsage: "catkindyke key list [flags]",
+		ShortHelp: "Lists workspaces and labels of the granted keys.", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			_, content, err := publisher.New(newStore(*store)).Read(ctx, replicator.Keys)
+			if err != nil {
+				return err
+			}
+			keys := &schema.Keys{}
+			if err := proto.Unmarshal(content, keys); err != nil {
+				return err
+			}
+			tw := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(tw, "WORKSPACE\tLABEL")
+			for _, k := range keys.GetKeys() {
+				fmt.Fprintf(tw, "%s\t%s\n", k.GetWorkspace(), k.GetLabel())
+			}
+			return tw.Flush()
+		},
+	})
+}
--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,63 @@
+// Package clock defines the project's millisecond time.
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Millis is a point on a host's monotonic clock, or a span, in milliseconds.
+// Points of different hosts are never compared.
+type Millis int64
+
+// Second is one second in milliseconds.
+const Second Millis = 1000
+
+// Duration converts a span to the standard library's type.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// FromDuration converts a standard duration, rounding down to a millisecond.
+func FromDuration(d time.Duration) Millis {
+	return Millis(d / time.Millisecond)
+}
+
+// Clock tells the time through a function, so that tests can replace it.
+type Clock struct {
+	now func() Millis
+}
+
+// New returns a monotonic clock that starts near zero. Within a
+// testing/synctest bubble it follows the bubble's virtual time.
+func New() Clock {
+	start := time.Now()
+	return Clock{now: func() Millis { return FromDuration(time.Since(start)) }}
+}
+
+// Now returns the current time.
+func (c Clock) Now() Millis {
+	return c.now()
+}
+
+// Manual is a clock that moves only when it is told to.
+type Manual struct {
+	mu  sync.Mutex
+	now Millis
+}
+
+// Clock returns a Clock that reads m.
+func (m *Manual) Clock() Clock {
+	return Clock{now: func() Millis {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.now
+	}}
+}
+
+// Advance moves the clock forward by d.
+func (m *Manual) Advance(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now += d
+}
--- /dev/null
+++ b/pkg/controller/controller.go
@@ -0,0 +1,201 @@
+// Package controller is the core of a host. One goroutine owns all control
+// state and publishes immutable snapshots of it.
+package controller
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/limiter"
+	"catkindyke/pkg/meter"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/snapshotter"
+	"catkindyke/pkg/storeclient"
+	"catkindyke/pkg/tracker"
+)
+
+const (
+	// heartbeatInterval is the time between two heartbeats to each peer.
+	heartbeatInterval = 500 * time.Millisecond
+	// callTimeout bounds each call to a peer.
+	callTimeout = time.Second
+)
+
+// Config configures a controller.
+type Config struct {
+	// Self describes the host; the incarnation grows with each start.
+	Self snapshotter.Host
+	// Store is the client of the platform's object API.
+	Store *storeclient.Client
+	// Peer returns a client of the host at a peer address.
+	Peer func(ctx context.Context, address string) schema.DRPCPeerClient
+	// Seeds are peer addresses to ask for documents while the store is down.
+	Seeds []string
+	// Clock tells the time.
+	Clock clock.Clock
+	// Log receives control events.
+	Log zerolog.Logger
+	// Meter counts control events.
+	Meter *meter.Meter
+}
+
+// Controller owns a host's control state.
+type Controller struct {
+	cfg     Config
+	inbox   chan func()
+	done    chan struct{}
+	snap    atomic.Pointer[snapshotter.Snapshot]
+	limiter *limiter.Limiter
+
+	// The fields below belong to the control goroutine.
+
+	docs       *replicator.Set
+	members    *tracker.Tracker
+	state      schema.HostState
+	sequence   uint64
+	contact    clock.Millis
+	hasContact bool
+	fetching   map[string]bool
+	input      snapshotter.Input
+}
+
+// New returns a controller that does nothing until Run is called.
+func New(cfg Config) *Controller {
+	c := &Controller{
+		cfg:      cfg,
+		inbox:    make(chan func(), 256),
+		done:     make(chan struct{}),
+		limiter:  limiter.New(),
+		docs:     replicator.NewSet(),
+		members:  tracker.New(cfg.Self.Name),
+		state:    schema.HostState_HOST_STATE_STARTING,
+		fetching: make(map[string]bool),
+	}
+	c.input = snapshotter.Input{
+		Self: cfg.Self, Config: &schema.Config{}, Keys: &schema.Keys{},
+		Drains: &schema.Drains{}, Plan: &schema.Plan{}, Hosts: []snapshotter.Host{cfg.Self},
+	}
+	c.snap.Store(snapshotter.Build(c.input))
+	return c
+}
+
+// Snapshot returns the view in force.
+func (c *Controller) Snapshot() *snapshotter.Snapshot { return c.snap.Load() }
+
+// Limiter returns the host's part of the fleet-wide buckets.
+func (c *Controller) Limiter() *limiter.Limiter { return c.limiter }
+
+// Run owns the control state until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	defer close(c.done)
+	for _, kind := range replicator.Kinds {
+		go c.watchDocument(ctx, kind)
+	}
+	go c.pollHeads(ctx)
+	go c.pollHosts(ctx)
+	tick := time.NewTicker(heartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.inbox:
+			f()
+		case <-tick.C:
+			c.tick(ctx)
+		}
+	}
+}
+
+// post gives f to the control goroutine; it is dropped when the controller has ended.
+func (c *Controller) post(f func()) {
+	select {
+	case c.inbox <- f:
+	case <-c.done:
+	}
+}
+
+// call runs f on the control goroutine and waits for it.
+func (c *Controller) call(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	select {
+	case c.inbox <- func() { f(); close(ran) }:
+	case <-c.done:
+		return context.Canceled
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-c.done:
+		return context.Canceled
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// storeContact notes that the store answered a call that was sent at the given time.
+func (c *Controller) storeContact(sent clock.Millis) {
+	c.post(func() {
+		if !c.hasContact || sent > c.contact {
+			c.contact, c.hasContact = sent, true
+		}
+	})
+}
+
+// Leave starts a planned stop: the host tells others that it is leaving.
+func (c *Controller) Leave(ctx context.Context) error {
+	return c.call(ctx, func() {
+		c.state = schema.HostState_HOST_STATE_LEAVING
+		c.input.Self.Leaving = true
+		c.heartbeat(ctx)
+		c.publish()
+	})
+}
+
+func (c *Controller) tick(ctx context.Context) {
+	now := c.cfg.Clock.Now()
+	c.members.Forget(now)
+	c.heartbeat(ctx)
+	c.updateShares(now)
+	c.publish()
+}
+
+// publish makes a new snapshot from the control state.
+func (c *Controller) publish() {
+	now := c.cfg.Clock.Now()
+	members := c.members.Members()
+	self := c.input.Self
+	hosts := []snapshotter.Host{self}
+	for _, m := range members {
+		if m.Live(now) {
+			hosts = append(hosts, hostOf(m.Info()))
+		}
+	}
+	c.input.Hosts = hosts
+	c.input.Versions = c.docs.Versions()
+	c.input.Ready = c.docs.Version(replicator.Config) > 0
+	if c.input.Ready && c.state == schema.HostState_HOST_STATE_STARTING {
+		c.state = schema.HostState_HOST_STATE_LIVE
+		c.cfg.Log.Info().Uint64("version", c.docs.Version(replicator.Config)).Msg("ready")
+	}
+	c.input.KeyDeadline = tracker.KeyDeadline(tracker.StandingInput{
+		Contact: c.contact, HasContact: c.hasContact, Members: members,
+	}, now)
+	c.snap.Store(snapshotter.Build(c.input))
+}
+
+func hostOf(info *schema.HostInfo) snapshotter.Host {
+	return snapshotter.Host{
+		Name: info.GetName(), Incarnation: info.GetIncarnation(), Region: info.GetRegion(),
+		AvailabilityZone: info.GetAvailabilityZone(), Address: info.GetAddress(),
+		PeerAddress: info.GetPeerAddress(), Pools: info.GetPools(),
+		Leaving: info.GetState() == schema.HostState_HOST_STATE_LEAVING,
+	}
+}
--- /dev/null
+++ b/pkg/controller/peers.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"context"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/limiter"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/tracker"
+)
+
+// self returns the host's account of itself; it runs on the control goroutine.
+func (c *Controller) self() *schema.HostInfo {
+	s := c.input.Self
+	age := tracker.NoStoreContact
+	if c.hasContact {
+		age = uint64(max(0, c.cfg.Clock.Now()-c.contact))
+	}
+	return &schema.HostInfo{
+		Name: s.Name, Incarnation: s.Incarnation, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+		State: c.state, Address: s.Address, PeerAddress: s.PeerAddress, Sequence: c.sequence,
+		Versions: c.docs.Versions(), StoreContactAgeMs: age, Requests: uint64(c.cfg.Meter.Get("requests")),
+	}
+}
+
+// heartbeat sends the host's state to its peers.
+func (c *Controller) heartbeat(ctx context.Context) {
+	c.sequence++
+	req := &schema.HeartbeatRequest{Sender: c.self()}
+	known := make(map[string]bool)
+	for _, m := range c.members.Members() {
+		known[m.Info().GetPeerAddress()] = true
+		go c.sendHeartbeat(ctx, m.Info().GetPeerAddress(), req)
+	}
+	for _, seed := range c.cfg.Seeds {
+		if !known[seed] && seed != c.input.Self.PeerAddress {
+			go c.sendHeartbeat(ctx, seed, req)
+		}
+	}
+}
+
+func (c *Controller) sendHeartbeat(ctx context.Context, address string, req *schema.HeartbeatRequest) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.cfg.Peer(ctx, address).Heartbeat(ctx, req)
+	if err != nil {
+		c.cfg.Meter.Add("heartbeats_failed", 1)
+		return
+	}
+	c.post(func() { c.observe(ctx, resp.GetSender()) })
+}
+
+// observe takes a host's account of itself and fetches documents that it has newer.
+func (c *Controller) observe(ctx context.Context, info *schema.HostInfo) {
+	if !c.members.Observe(info, c.cfg.Clock.Now()) {
+		return
+	}
+	for kind, version := range info.GetVersions() {
+		if version > c.docs.Version(kind) && !c.fetching[kind] {
+			c.fetching[kind] = true
+			go c.fetch(context.WithoutCancel(ctx), info.GetPeerAddress(), kind, version)
+		}
+	}
+}
+
+func (c *Controller) fetch(ctx context.Context, address, kind string, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	defer c.post(func() { delete(c.fetching, kind) })
+	resp, err := c.cfg.Peer(ctx, address).FetchDocument(ctx, &schema.FetchDocumentRequest{Kind: kind, Version: version})
+	if err != nil {
+		c.cfg.Log.Warn().Str("kind", kind).Str("peer", address).Err(err).Msg("fetch_failed")
+		return
+	}
+	c.offer(kind, resp.GetHead(), resp.GetContent())
+}
+
+// Heartbeat answers a peer's heartbeat.
+func (c *Controller) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (resp *schema.HeartbeatResponse, err error) {
+	err = c.call(ctx, func() {
+		c.observe(ctx, req.GetSender())
+		resp = &schema.HeartbeatResponse{Sender: c.self()}
+	})
+	return resp, err
+}
+
+// FetchDocument returns the document in force of a kind.
+func (c *Controller) FetchDocument(ctx context.Context, req *schema.FetchDocumentRequest) (resp *schema.FetchDocumentResponse, err error) {
+	resp = &schema.FetchDocumentResponse{}
+	err = c.call(ctx, func() {
+		if doc, ok := c.docs.Get(req.GetKind()); ok && doc.Head().GetVersion() >= req.GetVersion() {
+			resp.Head, resp.Content = doc.Head(), doc.Content()
+		}
+	})
+	return resp, err
+}
+
+// updateShares splits the share slots evenly over the known fleet.
+func (c *Controller) updateShares(now clock.Millis) {
+	fleet := len(c.members.Members()) + 1
+	c.limiter.SetShare(limiter.Slots/fleet, now+8*clock.Second, now)
+}
--- /dev/null
+++ b/pkg/emulator/backend.go
@@ -0,0 +1,156 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// BackendConfig configures a stand-in for a backend server.
+type BackendConfig struct {
+	// Name is put in each answer.
+	Name string
+	// ServiceTime is how long a request occupies a slot.
+	ServiceTime time.Duration
+	// Slots is the number of requests that run at once; more are counted as overload.
+	Slots int
+}
+
+// Backend is a backend server that answers with an echo of the request, so
+// that a caller can prove that the answer is its own and whole.
+type Backend struct {
+	cfg       BackendConfig
+	inUse     atomic.Int64
+	peak      atomic.Int64
+	requests  atomic.Int64
+	keysSeen  atomic.Int64
+	overloads atomic.Int64
+	leaving   atomic.Bool
+	failing   atomic.Bool
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Echo is the answer of a Backend.
+type Echo struct {
+	BackendServer string `json:"backend_server"`
+	Method        string `json:"method"`
+	Path          string `json:"path"`
+	RequestID     string `json:"request_id"`
+	Workspace     string `json:"workspace"`
+	Body          string `json:"body"`
+}
+
+// Headers that callers of a Backend use.
+const (
+	// RequestIDHeader identifies a request for the checks of a test.
+	RequestIDHeader = "Test-Request-Id"
+	// WorkspaceHeader names the workspace towards backend servers.
+	WorkspaceHeader = "Catkindyke-Workspace"
+)
+
+// NewBackend returns a backend server.
+func NewBackend(cfg BackendConfig) *Backend {
+	return &Backend{cfg: cfg, runs: make(map[string]int)}
+}
+
+// ServeHTTP answers requests, and /healthz with the load.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		b.serveHealth(w)
+		return
+	}
+	b.requests.Add(1)
+	if r.Header.Get("Catkindyke-Key") != "" || r.Header.Get("Authorization") != "" {
+		b.keysSeen.Add(1)
+	}
+	n := b.inUse.Add(1)
+	defer b.inUse.Add(-1)
+	b.notePeak(n)
+	if b.cfg.Slots > 0 && n > int64(b.cfg.Slots) {
+		b.overloads.Add(1)
+	}
+	id := r.Header.Get(RequestIDHeader)
+	if id != "" {
+		b.mu.Lock()
+		b.runs[id]++
+		b.mu.Unlock()
+	}
+	if b.failing.Load() {
+		http.Error(w, "failing", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		http.Error(w, "short body", http.StatusBadRequest)
+		return
+	}
+	if b.cfg.ServiceTime > 0 {
+		timer := time.NewTimer(b.cfg.ServiceTime)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	out, _ := json.Marshal(Echo{
+		BackendServer: b.cfg.Name, Method: r.Method, Path: r.URL.Path, RequestID: id,
+		Workspace: r.Header.Get(WorkspaceHeader), Body: string(body),
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(out)
+}
+
+func (b *Backend) notePeak(n int64) {
+	for {
+		peak := b.peak.Load()
+		if n <= peak || b.peak.CompareAndSwap(peak, n) {
+			return
+		}
+	}
+}
+
+func (b *Backend) serveHealth(w http.ResponseWriter) {
+	status, state := http.StatusOK, "ok"
+	if b.leaving.Load() {
+		status, state = http.StatusServiceUnavailable, "leaving"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"state":%q,"in_use":%d}`, state, b.inUse.Load())
+}
+
+// SetLeaving makes the health endpoint report that the server leaves.
+func (b *Backend) SetLeaving(v bool) { b.leaving.Store(v) }
+
+// SetFailing makes every request fail with status 503.
+func (b *Backend) SetFailing(v bool) { b.failing.Store(v) }
+
+// Requests returns the number of requests received.
+func (b *Backend) Requests() int64 { return b.requests.Load() }
+
+// KeysSeen returns the number of requests that carried a key.
+func (b *Backend) KeysSeen() int64 { return b.keysSeen.Load() }
+
+// Overloads returns the number of requests that came while all slots were in use.
+func (b *Backend) Overloads() int64 { return b.overloads.Load() }
+
+// Peak returns the largest number of requests that ran at once.
+func (b *Backend) Peak() int64 { return b.peak.Load() }
+
+// Runs returns how often each request identity was received.
+func (b *Backend) Runs() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.runs))
+	for k, v := range b.runs {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/emulator/platform.go
@@ -0,0 +1,292 @@
+// Package emulator has stand-ins for the systems outside the project: the
+// platform's object API with injected faults, and backend servers.
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"catkindyke/pkg/storeclient"
+)
+
+// Faults are injected into the platform's answers.
+type Faults struct {
+	// Down answers every call with status 503.
+	Down bool
+	// Delay is added to every answer.
+	Delay time.Duration
+	// LoseWriteAnswers drops the connection after a write took effect, for this many writes.
+	LoseWriteAnswers int
+	// SilentWatches makes watches end without ever reporting a change.
+	SilentWatches bool
+	// StaleHosts answers with the host list as it was when the fault was set.
+	StaleHosts bool
+}
+
+// Budget limits the calls in each second; zero is no limit.
+type Budget struct {
+	ReadsPerSecond  int
+	WritesPerSecond int
+}
+
+// Platform is an in-memory object store with a list of hosts, served over HTTP.
+type Platform struct {
+	mu       sync.Mutex
+	objects  map[string]storeclient.Object
+	changed  chan struct{}
+	hosts    map[string]storeclient.Host
+	stale    []storeclient.Host
+	faults   Faults
+	budget   Budget
+	second   int64
+	reads    int
+	writes   int
+	rejected int
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform(budget Budget) *Platform {
+	return &Platform{
+		objects: make(map[string]storeclient.Object),
+		hosts:   make(map[string]storeclient.Host),
+		changed: make(chan struct{}),
+		budget:  budget,
+	}
+}
+
+// SetFaults replaces the injected faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.StaleHosts && !p.faults.StaleHosts {
+		p.stale = p.hostList()
+	}
+	p.faults = f
+}
+
+// SetHost adds or replaces an entry of the host list.
+func (p *Platform) SetHost(h storeclient.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts[h.Name] = h
+}
+
+// RemoveHost removes an entry of the host list.
+func (p *Platform) RemoveHost(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hosts, name)
+}
+
+// Rejected returns the number of calls refused because the budget was spent.
+func (p *Platform) Rejected() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rejected
+}
+
+// ServeHTTP answers the object API.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	faults := p.faults
+	allowed := p.spend(r.Method == http.MethodGet)
+	p.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if faults.Down {
+		http.Error(w, "store is down", http.StatusServiceUnavailable)
+		return
+	}
+	if !allowed {
+		http.Error(w, "call budget is spent", http.StatusTooManyRequests)
+		return
+	}
+	name, isObject := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	host, isHost := strings.CutPrefix(r.URL.Path, "/v1/hosts/")
+	switch {
+	case isObject && r.Method == http.MethodGet:
+		p.serveRead(w, r, name)
+	case isObject && (r.Method == http.MethodPut || r.Method == http.MethodDelete):
+		p.serveWrite(w, r, name)
+	case r.URL.Path == "/v1/objects" && r.Method == http.MethodGet:
+		p.serveList(w, r.URL.Query().Get("prefix"))
+	case r.URL.Path == "/v1/hosts" && r.Method == http.MethodGet:
+		p.serveHosts(w)
+	case isHost:
+		p.serveHostChange(w, r, host)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// spend counts a call against the budget of the current second; p.mu is held.
+func (p *Platform) spend(read bool) bool {
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.reads, p.writes = now, 0, 0
+	}
+	used, limit := &p.writes, p.budget.WritesPerSecond
+	if read {
+		used, limit = &p.reads, p.budget.ReadsPerSecond
+	}
+	*used++
+	if limit > 0 && *used > limit {
+		p.rejected++
+		return false
+	}
+	return true
+}
+
+func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, name string) {
+	q := r.URL.Query()
+	if !q.Has("watch_after") {
+		p.mu.Lock()
+		obj, ok := p.objects[name]
+		p.mu.Unlock()
+		writeObject(w, obj, ok)
+		return
+	}
+	after, err := strconv.ParseUint(q.Get("watch_after"), 10, 64)
+	wait, err2 := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil || err2 != nil || wait < 0 {
+		http.Error(w, "bad watch", http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		obj, ok := p.objects[name]
+		changed, faults := p.changed, p.faults
+		p.mu.Unlock()
+		if faults.Down {
+			http.Error(w, "store is down", http.StatusServiceUnavailable)
+			return
+		}
+		if ok && obj.Version > after && !faults.SilentWatches {
+			writeObject(w, obj, true)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeObject(w http.ResponseWriter, obj storeclient.Object, ok bool) {
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set(storeclient.VersionHeader, strconv.FormatUint(obj.Version, 10))
+	_, _ = w.Write(obj.Value)
+}
+
+func (p *Platform) serveWrite(w http.ResponseWriter, r *http.Request, name string) {
+	want, err := strconv.ParseUint(r.Header.Get(storeclient.ConditionHeader), 10, 64)
+	if err != nil {
+		http.Error(w, "missing or bad "+storeclient.ConditionHeader, http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, storeclient.MaxValueBytes+1))
+	if err != nil || len(value) > storeclient.MaxValueBytes {
+		http.Error(w, "value over 1 MB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.mu.Lock()
+	have := p.objects[name].Version
+	if have != want {
+		p.mu.Unlock()
+		w.Header().Set(storeclient.VersionHeader, strconv.FormatUint(have, 10))
+		http.Error(w, "version conflict", http.StatusConflict)
+		return
+	}
+	obj := storeclient.Object{Name: name, Version: have + 1, Value: value}
+	if r.Method == http.MethodDelete {
+		delete(p.objects, name)
+	} else {
+		p.objects[name] = obj
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	lose := p.faults.LoseWriteAnswers > 0
+	if lose {
+		p.faults.LoseWriteAnswers--
+	}
+	p.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(storeclient.VersionHeader, strconv.FormatUint(obj.Version, 10))
+}
+
+func (p *Platform) serveList(w http.ResponseWriter, prefix string) {
+	p.mu.Lock()
+	list := []storeclient.Object{}
+	for name, obj := range p.objects {
+		if strings.HasPrefix(name, prefix) {
+			list = append(list, storeclient.Object{Name: name, Version: obj.Version})
+		}
+	}
+	p.mu.Unlock()
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	writeJSON(w, list)
+}
+
+func (p *Platform) serveHosts(w http.ResponseWriter) {
+	p.mu.Lock()
+	list := p.hostList()
+	if p.faults.StaleHosts {
+		list = p.stale
+	}
+	p.mu.Unlock()
+	writeJSON(w, list)
+}
+
+// hostList returns the host list in order of names; p.mu is held.
+func (p *Platform) hostList() []storeclient.Host {
+	list := make([]storeclient.Host, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		list = append(list, h)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// serveHostChange lets the process manager that the platform would run add and
+// remove hosts, so that hosts can be started as separate processes.
+func (p *Platform) serveHostChange(w http.ResponseWriter, r *http.Request, name string) {
+	switch r.Method {
+	case http.MethodPut:
+		var h storeclient.Host
+		if err := json.NewDecoder(r.Body).Decode(&h); err != nil || h.Name != name {
+			http.Error(w, "bad host entry", http.StatusBadRequest)
+			return
+		}
+		p.SetHost(h)
+	case http.MethodDelete:
+		p.RemoveHost(name)
+	default:
+		http.Error(w, "use PUT or DELETE", http.StatusMethodNotAllowed)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/runner/runner.go
@@ -0,0 +1,214 @@
+// Package runner assembles one host from its parts and runs it.
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/controller"
+	"catkindyke/pkg/dialer"
+	"catkindyke/pkg/dispatcher"
+	"catkindyke/pkg/forwarder"
+	"catkindyke/pkg/logger"
+	"catkindyke/pkg/meter"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/snapshotter"
+	"catkindyke/pkg/storeclient"
+	"catkindyke/pkg/tracer"
+	"catkindyke/service/apiserver"
+	"catkindyke/service/peerserver"
+)
+
+// Config configures a host.
+type Config struct {
+	// Name of the host, unique in the fleet.
+	Name string
+	// Region of the host.
+	Region string
+	// AvailabilityZone of the host.
+	AvailabilityZone string
+	// StoreURL is the address of the platform's object API.
+	StoreURL string
+	// Seeds are peer addresses of other hosts, used while the store is down.
+	Seeds []string
+	// Caller, Operator and Peer are the listeners; the host closes them.
+	Caller, Operator, Peer net.Listener
+	// CallerTLS serves callers with TLS when set.
+	CallerTLS *tls.Config
+	// PeerServerTLS and PeerClientTLS are the two sides of mutual TLS between hosts.
+	PeerServerTLS, PeerClientTLS *tls.Config
+	// Log makes the loggers.
+	Log *logger.Factory
+	// Tracing says where spans go.
+	Tracing tracer.Config
+}
+
+// Host is a running host.
+type Host struct {
+	cfg        Config
+	meter      *meter.Meter
+	controller *controller.Controller
+	forwarder  *forwarder.Forwarder
+	store      *storeclient.Client
+	dialer     *dialer.Dialer
+	tracing    *tracer.Provider
+	caller     *http.Server
+	operator   *http.Server
+	peer       *peerserver.Server
+	cancel     context.CancelFunc
+	pools      *pools
+}
+
+// Header limits protect a host from callers that send too much or too slowly.
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 120 * time.Second
+)
+
+// Start assembles a host and starts it.
+func Start(cfg Config) (*Host, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{cfg: cfg, meter: meter.New(), cancel: cancel, pools: newPools()}
+	provider, err := tracer.New(ctx, cfg.Tracing)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	h.tracing = provider
+	h.store = storeclient.New(storeclient.Config{BaseURL: cfg.StoreURL})
+	h.dialer = dialer.New(dialer.Config{TLS: cfg.PeerClientTLS})
+	clk := clock.New()
+	h.controller = controller.New(controller.Config{
+		Self: snapshotter.Host{
+			Name: cfg.Name, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region,
+			AvailabilityZone: cfg.AvailabilityZone, Address: cfg.Caller.Addr().String(),
+			PeerAddress: cfg.Peer.Addr().String(),
+		},
+		Store: h.store, Peer: h.dialer.Peer, Seeds: cfg.Seeds, Clock: clk,
+		Log: cfg.Log.For(logger.Control), Meter: h.meter,
+	})
+	h.forwarder = forwarder.New(forwarder.Config{
+		Snapshot: h.controller.Snapshot, Admit: h.controller.Limiter().Admit, Acquire: h.acquire,
+		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
+		Transport: forwarder.NewTransport(64),
+	})
+	if err := h.listen(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) listen(ctx context.Context) error {
+	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder}
+	h.caller = newServer(apiserver.Caller(api))
+	h.operator = newServer(apiserver.Operator(api))
+	peer, err := peerserver.New(peerserver.Config{Core: &peerCore{h}, TLS: h.cfg.PeerServerTLS})
+	if err != nil {
+		return err
+	}
+	h.peer = peer
+	go h.controller.Run(ctx)
+	go func() { _ = h.peer.Serve(ctx, h.cfg.Peer) }()
+	go func() { _ = h.operator.Serve(h.cfg.Operator) }()
+	l := h.cfg.Caller
+	if h.cfg.CallerTLS != nil {
+		l = tls.NewListener(l, h.cfg.CallerTLS)
+	}
+	go func() { _ = h.caller.Serve(l) }()
+	return nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// Snapshot returns the host's view of control state.
+func (h *Host) Snapshot() *snapshotter.Snapshot { return h.controller.Snapshot() }
+
+// Meter returns the host's counters.
+func (h *Host) Meter() *meter.Meter { return h.meter }
+
+// Store returns the host's client of the object API.
+func (h *Host) Store() *storeclient.Client { return h.store }
+
+// CallerAddress returns the address for callers.
+func (h *Host) CallerAddress() string { return h.cfg.Caller.Addr().String() }
+
+// OperatorAddress returns the address for operators.
+func (h *Host) OperatorAddress() string { return h.cfg.Operator.Addr().String() }
+
+// PeerAddress returns the address for other hosts.
+func (h *Host) PeerAddress() string { return h.cfg.Peer.Addr().String() }
+
+// stopMargin is added to the look-up age, so that an answer on its way is covered.
+const stopMargin = 2 * time.Second
+
+// Stop makes a planned stop: others learn that the host leaves, callers with a
+// cached answer are served until its age has passed, and requests in flight end.
+func (h *Host) Stop(ctx context.Context) error {
+	if err := h.controller.Leave(ctx); err != nil {
+		return err
+	}
+	age := time.Duration(h.Snapshot().Config().GetSettings().GetLookupAgeMs()) * time.Millisecond
+	select {
+	case <-time.After(age + stopMargin):
+	case <-ctx.Done():
+	}
+	err := h.caller.Shutdown(ctx)
+	h.Kill()
+	return errors.Join(err, h.tracing.Shutdown(ctx))
+}
+
+// Kill ends the host at once, as a crash would.
+func (h *Host) Kill() {
+	h.cancel()
+	_ = h.caller.Close()
+	_ = h.operator.Close()
+	_ = h.cfg.Peer.Close()
+	_ = h.dialer.Close()
+}
+
+// peerCore joins what answers the calls of other hosts.
+type peerCore struct {
+	*Host
+}
+
+// Heartbeat implements schema.DRPCPeerServer.
+func (p *peerCore) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error) {
+	return p.controller.Heartbeat(ctx, req)
+}
+
+// FetchDocument implements schema.DRPCPeerServer.
+func (p *peerCore) FetchDocument(ctx context.Context, req *schema.FetchDocumentRequest) (*schema.FetchDocumentResponse, error) {
+	return p.controller.FetchDocument(ctx, req)
+}
+
+// Borrow implements schema.DRPCPeerServer.
+func (p *peerCore) Borrow(context.Context, *schema.BorrowRequest) (*schema.BorrowResponse, error) {
+	return &schema.BorrowResponse{}, nil
+}
+
+// Acquire implements schema.DRPCPeerServer.
+func (p *peerCore) Acquire(context.Context, *schema.AcquireRequest) (*schema.AcquireResponse, error) {
+	return &schema.AcquireResponse{Refusal: dispatcher.ErrNoServer.Error()}, nil
+}
+
+// Release implements schema.DRPCPeerServer.
+func (p *peerCore) Release(context.Context, *schema.ReleaseRequest) (*schema.ReleaseResponse, error) {
+	return &schema.ReleaseResponse{}, nil
+}
+
+// ReportPermits implements schema.DRPCPeerServer.
+func (p *peerCore) ReportPermits(context.Context, *schema.ReportPermitsRequest) (*schema.ReportPermitsResponse, error) {
+	return &schema.ReportPermitsResponse{}, nil
+}
--- /dev/null
+++ b/pkg/snapshotter/snapshotter.go
@@ -0,0 +1,162 @@
+// Package snapshotter builds the immutable view of control state that traffic
+// goroutines read.
+package snapshotter
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+)
+
+// Host is an entry host that callers may be sent to.
+type Host struct {
+	Name             string
+	Incarnation      uint64
+	Region           string
+	AvailabilityZone string
+	Address          string
+	PeerAddress      string
+	Leaving          bool
+	Pools            []*schema.PoolLoad
+}
+
+// Input is what a snapshot is built from.
+type Input struct {
+	Self     Host
+	Versions map[string]uint64
+	Config   *schema.Config
+	Keys     *schema.Keys
+	Drains   *schema.Drains
+	Plan     *schema.Plan
+	// Hosts are the live hosts, the host itself included.
+	Hosts []Host
+	// Ready says that the host has a configuration in force.
+	Ready bool
+	// KeyDeadline is the time until which requests that need a key may be
+	// admitted without news of withdrawals.
+	KeyDeadline clock.Millis
+}
+
+// Snapshot is an immutable view; all its parts are read only.
+type Snapshot struct {
+	in       Input
+	auth     *authenticator.Authenticator
+	services map[string]*Service
+	trusted  []netip.Prefix
+}
+
+// Service is a service with its backend servers by region.
+type Service struct {
+	cfg      *schema.Service
+	byRegion map[string][]*schema.BackendServer
+}
+
+// Build makes a snapshot. The input must not be changed afterwards.
+func Build(in Input) *Snapshot {
+	s := &Snapshot{in: in, auth: authenticator.New(in.Keys), services: make(map[string]*Service)}
+	for _, cfg := range in.Config.GetServices() {
+		svc := &Service{cfg: cfg, byRegion: make(map[string][]*schema.BackendServer)}
+		for _, b := range cfg.GetBackendServers() {
+			if !s.drained(b) {
+				svc.byRegion[b.GetRegion()] = append(svc.byRegion[b.GetRegion()], b)
+			}
+		}
+		s.services[cfg.GetName()] = svc
+	}
+	for _, t := range in.Config.GetSettings().GetTrustedProxies() {
+		if p, err := netip.ParsePrefix(t); err == nil {
+			s.trusted = append(s.trusted, p)
+		}
+	}
+	return s
+}
+
+func (s *Snapshot) drained(b *schema.BackendServer) bool {
+	d := s.in.Drains
+	return slices.Contains(d.GetBackendServers(), b.GetName()) ||
+		slices.Contains(d.GetAvailabilityZones(), b.GetAvailabilityZone()) ||
+		slices.Contains(d.GetRegions(), b.GetRegion())
+}
+
+// Self returns the host itself.
+func (s *Snapshot) Self() Host { return s.in.Self }
+
+// Config returns the configuration in force.
+func (s *Snapshot) Config() *schema.Config { return s.in.Config }
+
+// Drains returns the drains in force.
+func (s *Snapshot) Drains() *schema.Drains { return s.in.Drains }
+
+// Plan returns the plan in force.
+func (s *Snapshot) Plan() *schema.Plan { return s.in.Plan }
+
+// Versions returns the document versions in force, by kind.
+func (s *Snapshot) Versions() map[string]uint64 { return s.in.Versions }
+
+// Hosts returns the live hosts.
+func (s *Snapshot) Hosts() []Host { return s.in.Hosts }
+
+// Ready reports whether a configuration is in force.
+func (s *Snapshot) Ready() bool { return s.in.Ready }
+
+// KeyDeadline returns the time until which requests that need a key may be admitted.
+func (s *Snapshot) KeyDeadline() clock.Millis { return s.in.KeyDeadline }
+
+// Authenticator returns the table of keys in force.
+func (s *Snapshot) Authenticator() *authenticator.Authenticator { return s.auth }
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	svc, ok := s.services[name]
+	return svc, ok
+}
+
+// TrustedProxy reports whether the X-Forwarded-For header of an address is used.
+func (s *Snapshot) TrustedProxy(addr netip.Addr) bool {
+	return slices.ContainsFunc(s.trusted, func(p netip.Prefix) bool { return p.Contains(addr) })
+}
+
+// Config returns the service's configuration.
+func (s *Service) Config() *schema.Service { return s.cfg }
+
+// Servers returns the backend servers of a region that are not drained.
+func (s *Service) Servers(region string) []*schema.BackendServer { return s.byRegion[region] }
+
+// Open reports whether a path needs no key. The path includes the service's segment.
+func (s *Service) Open(path string) bool {
+	return matchesRoute(s.cfg.GetOpenRoutes(), path)
+}
+
+// defaultIdempotentMethods may be repeated according to RFC 9110.
+var defaultIdempotentMethods = []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
+
+// Idempotent reports whether a request may be repeated.
+func (s *Service) Idempotent(method, path string) bool {
+	methods := s.cfg.GetIdempotentMethods()
+	if len(methods) == 0 {
+		methods = defaultIdempotentMethods
+	}
+	return slices.Contains(methods, method) || matchesRoute(s.cfg.GetIdempotentRoutes(), path)
+}
+
+// Slots returns the slots of a backend server.
+func (s *Service) Slots(b *schema.BackendServer) int {
+	if b.GetSlots() > 0 {
+		return int(b.GetSlots())
+	}
+	return int(s.cfg.GetSlots())
+}
+
+// matchesRoute matches whole path segments, so that /open does not open /opening.
+func matchesRoute(routes []string, path string) bool {
+	for _, r := range routes {
+		if path == r || strings.HasPrefix(path, strings.TrimSuffix(r, "/")+"/") {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/service/peerserver/peerserver.go
@@ -0,0 +1,48 @@
+// Package peerserver serves the calls of other hosts over drpc.
+package peerserver
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"catkindyke/pkg/dialer"
+	"catkindyke/pkg/schema"
+)
+
+// Server listens for other hosts.
+type Server struct {
+	server *drpcserver.Server
+	tls    *tls.Config
+}
+
+// Config configures a server.
+type Config struct {
+	// Core answers the calls.
+	Core schema.DRPCPeerServer
+	// TLS is the server side of mutual TLS; connections are plain when nil.
+	TLS *tls.Config
+	// LogError is called for connections that fail.
+	LogError func(error)
+}
+
+// New returns a server.
+func New(cfg Config) (*Server, error) {
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterPeer(mux, cfg.Core); err != nil {
+		return nil, err
+	}
+	opts := drpcserver.Options{Manager: dialer.ManagerOptions(), Log: cfg.LogError}
+	return &Server{server: drpcserver.NewWithOptions(mux, opts), tls: cfg.TLS}, nil
+}
+
+// Serve answers calls until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if s.tls != nil {
+		l = tls.NewListener(l, s.tls)
+	}
+	return s.server.Serve(ctx, l)
+}
