--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -36,6 +36,8 @@
 	Peer func(ctx context.Context, address string) schema.DRPCPeerClient
 	// Seeds are peer addresses to ask for documents while the store is down.
 	Seeds []string
+	// Pools returns the load of the slots that the host owns.
+	Pools func() []*schema.PoolLoad
 	// Clock tells the time.
 	Clock clock.Clock
 	// Log receives control events.
@@ -90,6 +92,11 @@
 // Limiter returns the host's part of the fleet-wide buckets.
 func (c *Controller) Limiter() *limiter.Limiter { return c.limiter }
 
+// Admit takes a token of a bucket, or says when to try again.
+func (c *Controller) Admit(_ context.Context, bucket string) (bool, clock.Millis) {
+	return c.limiter.Admit(bucket, c.cfg.Clock.Now())
+}
+
 // Run owns the control state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"catkindyke/pkg/clock"
-	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/tracker"
 )
@@ -20,6 +18,7 @@
 		Name: s.Name, Incarnation: s.Incarnation, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		State: c.state, Address: s.Address, PeerAddress: s.PeerAddress, Sequence: c.sequence,
 		Versions: c.docs.Versions(), StoreContactAgeMs: age, Requests: uint64(c.cfg.Meter.Get("requests")),
+		Pools: c.cfg.Pools(),
 	}
 }
 
@@ -94,9 +93,3 @@
 	})
 	return resp, err
 }
-
-// updateShares splits the share slots evenly over the known fleet.
-func (c *Controller) updateShares(now clock.Millis) {
-	fleet := len(c.members.Members()) + 1
-	c.limiter.SetShare(limiter.Slots/fleet, now+8*clock.Second, now)
-}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -51,13 +51,25 @@
 	Release func(schema.PermitResult)
 }
 
+// AcquireError says why no slot was granted.
+type AcquireError struct {
+	// Reason is a stable word for the cause, in snake case.
+	Reason string
+	// RetryAfter is the time after which to ask again.
+	RetryAfter clock.Millis
+}
+
+// Error returns the reason.
+func (e *AcquireError) Error() string { return "no slot granted: " + e.Reason }
+
 // Config configures a forwarder. All fields are needed.
 type Config struct {
 	// Snapshot returns the view of control state in force.
 	Snapshot func() *snapshotter.Snapshot
-	// Admit takes a token of a workspace, or says when to try again.
-	Admit func(workspace string, now clock.Millis) (bool, clock.Millis)
-	// Acquire waits for a slot.
+	// Admit takes a token of a workspace, or says when to try again. It may wait
+	// for a short time while tokens are borrowed from another host.
+	Admit func(ctx context.Context, workspace string) (bool, clock.Millis)
+	// Acquire waits for a slot until the context ends. Its errors are AcquireErrors.
 	Acquire func(ctx context.Context, svc *snapshotter.Service, workspace string, exclude []string) (Permit, error)
 	// Clock tells the time.
 	Clock clock.Clock
@@ -159,7 +171,11 @@
 	defer cancel()
 	permit, err := f.acquire(ctx, x)
 	if err != nil {
-		return &Refusal{http.StatusServiceUnavailable, "no_capacity", NotRun, clock.Second}
+		refusal := &Refusal{http.StatusServiceUnavailable, "no_capacity", NotRun, clock.Second}
+		if e := (*AcquireError)(nil); errors.As(err, &e) {
+			refusal.Reason, refusal.RetryAfter = e.Reason, e.RetryAfter
+		}
+		return refusal
 	}
 	x.server = permit.BackendServer
 	return f.send(ctx, x, permit)
@@ -174,12 +190,11 @@
 	if err != nil {
 		return &Refusal{http.StatusUnauthorized, "bad_key", NotRun, 0}
 	}
-	now := f.cfg.Clock.Now()
-	if now >= x.snap.KeyDeadline() {
+	if f.cfg.Clock.Now() >= x.snap.KeyDeadline() {
 		return &Refusal{http.StatusServiceUnavailable, "no_standing", NotRun, clock.Second}
 	}
 	x.workspace = workspace
-	if ok, wait := f.cfg.Admit(workspace, now); !ok {
+	if ok, wait := f.cfg.Admit(x.r.Context(), workspace); !ok {
 		return &Refusal{http.StatusTooManyRequests, "rate_limited", NotRun, wait}
 	}
 	return nil
--- a/pkg/runner/pools.go
+++ b/pkg/runner/pools.go
@@ -35,11 +35,11 @@
 func (h *Host) acquire(ctx context.Context, svc *snapshotter.Service, _ string, _ []string) (forwarder.Permit, error) {
 	region := h.cfg.Region
 	servers := svc.Servers(region)
-	for _, r := range h.Snapshot().Config().GetRegions() {
+	for _, r := range regionOrder(h.Snapshot()) {
 		if len(servers) > 0 {
 			break
 		}
-		region, servers = r.GetName(), svc.Servers(r.GetName())
+		region, servers = r, svc.Servers(r)
 	}
 	list := make([]dispatcher.Server, 0, len(servers))
 	for _, s := range servers {
@@ -56,3 +56,6 @@
 		Release: func(schema.PermitResult) { pool.Release(server.Name) },
 	}, nil
 }
+
+// poolLoads returns the load of the slots that the host owns.
+func (h *Host) poolLoads() []*schema.PoolLoad { return nil }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -90,11 +90,11 @@
 			AvailabilityZone: cfg.AvailabilityZone, Address: cfg.Caller.Addr().String(),
 			PeerAddress: cfg.Peer.Addr().String(),
 		},
-		Store: h.store, Peer: h.dialer.Peer, Seeds: cfg.Seeds, Clock: clk,
+		Store: h.store, Peer: h.dialer.Peer, Seeds: cfg.Seeds, Clock: clk, Pools: h.poolLoads,
 		Log: cfg.Log.For(logger.Control), Meter: h.meter,
 	})
 	h.forwarder = forwarder.New(forwarder.Config{
-		Snapshot: h.controller.Snapshot, Admit: h.controller.Limiter().Admit, Acquire: h.acquire,
+		Snapshot: h.controller.Snapshot, Admit: h.controller.Admit, Acquire: h.acquire,
 		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
 		Transport: forwarder.NewTransport(64),
 	})
