Make hosts ready only with the newest documents, and prove it in virtual time

Cause: a restarted host served the first version it saw, so a stale peer or read could take it behind what it had in force before; a lost answer to a head update was reported as unknown although the store could tell.

Change: a starting host is ready only after it has read all heads from the store, or after 3 s without store from a serving peer, has tried each known peer and holds the newest versions heard. Head updates are repeated until their outcome is known; heads remember 16 earlier attempts. pkg/emulator carries HTTP and host calls in memory, so whole fleets run in synctest's virtual time.

Measured (go test ./pkg/runner): withdrawal in force on 4 hosts within the 2 s target, with silent watches and with half of 8 hosts cut off from the store too; an isolated host refuses keys 11 s after the cut; 1 h of store outage refuses nothing.

--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -57,6 +57,7 @@
 	// The fields below belong to the control goroutine.
 
 	docs       *replicator.Set
+	startup    *replicator.Startup
 	members    *tracker.Tracker
 	state      schema.HostState
 	sequence   uint64
@@ -74,6 +75,7 @@
 		done:     make(chan struct{}),
 		limiter:  limiter.New(),
 		docs:     replicator.NewSet(),
+		startup:  replicator.NewStartup(cfg.Clock.Now()),
 		members:  tracker.New(cfg.Self.Name),
 		state:    schema.HostState_HOST_STATE_STARTING,
 		fetching: make(map[string]bool),
@@ -187,7 +189,7 @@
 	}
 	c.input.Hosts = hosts
 	c.input.Versions = c.docs.Versions()
-	c.input.Ready = c.docs.Version(replicator.Config) > 0
+	c.input.Ready = c.startup.Ready(c.input.Versions, now)
 	if c.input.Ready && c.state == schema.HostState_HOST_STATE_STARTING {
 		c.state = schema.HostState_HOST_STATE_LIVE
 		c.cfg.Log.Info().Uint64("version", c.docs.Version(replicator.Config)).Msg("ready")
--- a/pkg/controller/documents.go
+++ b/pkg/controller/documents.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -51,18 +53,32 @@
 		heads, err := c.cfg.Store.List(ctx, replicator.HeadPrefix)
 		if err == nil {
 			c.storeContact(sent)
-			versions := c.Snapshot().Versions()
-			for _, h := range heads {
-				kind := h.Name[len(replicator.HeadPrefix):]
-				if h.Version > versions[kind] {
-					c.readHead(ctx, kind)
-				}
-			}
+			c.readHeads(ctx, heads)
 		}
 		pause(ctx, pollInterval)
 	}
 }
 
+// readHeads reads the heads that are newer than what is in force.
+func (c *Controller) readHeads(ctx context.Context, heads []storeclient.Object) {
+	have := c.Snapshot().Versions()
+	stored := make(map[string]uint64, len(heads))
+	for _, h := range heads {
+		kind := strings.TrimPrefix(h.Name, replicator.HeadPrefix)
+		if !slices.Contains(replicator.Kinds, kind) {
+			continue
+		}
+		stored[kind] = h.Version
+		if h.Version > have[kind] {
+			c.readHead(ctx, kind)
+		}
+	}
+	c.post(func() {
+		c.startup.StoreHeads(stored)
+		c.publish()
+	})
+}
+
 func (c *Controller) readHead(ctx context.Context, kind string) {
 	obj, err := c.cfg.Store.Get(ctx, replicator.HeadName(kind))
 	if err == nil {
@@ -157,7 +173,13 @@
 		hosts, err := c.cfg.Store.Hosts(ctx)
 		if err == nil {
 			c.storeContact(sent)
-			c.post(func() { c.members.Seed(hosts) })
+			c.post(func() {
+				c.members.Seed(hosts)
+				c.startup.HostsRead()
+				if c.state == schema.HostState_HOST_STATE_STARTING {
+					c.heartbeat(ctx)
+				}
+			})
 		}
 		pause(ctx, hostsInterval)
 	}
--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/tracker"
@@ -26,16 +27,24 @@
 func (c *Controller) heartbeat(ctx context.Context) {
 	c.sequence++
 	req := &schema.HeartbeatRequest{Sender: c.self()}
-	known := make(map[string]bool)
+	for _, address := range c.targets() {
+		c.startup.Asked(address)
+		go c.sendHeartbeat(ctx, address, req)
+	}
+}
+
+// targets returns the peer addresses of the known hosts and of seeds not yet known.
+func (c *Controller) targets() []string {
+	var out []string
 	for _, m := range c.members.Members() {
-		known[m.Info().GetPeerAddress()] = true
-		go c.sendHeartbeat(ctx, m.Info().GetPeerAddress(), req)
+		out = append(out, m.Info().GetPeerAddress())
 	}
 	for _, seed := range c.cfg.Seeds {
-		if !known[seed] && seed != c.input.Self.PeerAddress {
-			go c.sendHeartbeat(ctx, seed, req)
+		if !slices.Contains(out, seed) && seed != c.input.Self.PeerAddress {
+			out = append(out, seed)
 		}
 	}
+	return out
 }
 
 func (c *Controller) sendHeartbeat(ctx context.Context, address string, req *schema.HeartbeatRequest) {
@@ -44,9 +53,17 @@
 	resp, err := c.cfg.Peer(ctx, address).Heartbeat(ctx, req)
 	if err != nil {
 		c.cfg.Meter.Add("heartbeats_failed", 1)
+		c.post(func() { c.startup.Answered(address, nil) })
 		return
 	}
-	c.post(func() { c.observe(ctx, resp.GetSender()) })
+	c.post(func() {
+		var versions map[string]uint64
+		if resp.GetSender().GetState() != schema.HostState_HOST_STATE_STARTING {
+			versions = resp.GetSender().GetVersions()
+		}
+		c.startup.Answered(address, versions)
+		c.observe(ctx, resp.GetSender())
+	})
 }
 
 // observe takes a host's account of itself and fetches documents that it has newer.
--- /dev/null
+++ b/pkg/emulator/network.go
@@ -0,0 +1,189 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"catkindyke/pkg/schema"
+)
+
+// ErrRefused is returned for calls to an address where nothing listens.
+var ErrRefused = errors.New("connection refused")
+
+// Place is where an endpoint stands.
+type Place struct {
+	Region           string
+	AvailabilityZone string
+}
+
+// NetworkConfig holds the one-way delays of a network.
+type NetworkConfig struct {
+	// SameZone is the delay within an availability zone.
+	SameZone time.Duration
+	// SameRegion is the delay between availability zones of one region.
+	SameRegion time.Duration
+	// Regions is the delay between regions.
+	Regions time.Duration
+}
+
+// Network carries HTTP calls and calls between hosts in memory, so that whole
+// deployments run in the virtual time of testing/synctest. Calls over a cut
+// link get no answer, as on a link that drops packets.
+type Network struct {
+	cfg NetworkConfig
+
+	mu        sync.Mutex
+	endpoints map[string]endpoint
+	peers     map[string]schema.DRPCPeerServer
+	places    map[string]Place
+	cut       func(from, to Place) bool
+	changed   chan struct{}
+}
+
+type endpoint struct {
+	handler http.Handler
+}
+
+// NewNetwork returns a network without endpoints.
+func NewNetwork(cfg NetworkConfig) *Network {
+	return &Network{
+		cfg: cfg, endpoints: make(map[string]endpoint), peers: make(map[string]schema.DRPCPeerServer),
+		places: make(map[string]Place), cut: func(_, _ Place) bool { return false }, changed: make(chan struct{}),
+	}
+}
+
+// Listen serves HTTP calls to an address.
+func (n *Network) Listen(address string, at Place, handler http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.endpoints[address] = endpoint{handler}
+	n.places[address] = at
+}
+
+// ListenPeer serves calls of hosts to a peer address.
+func (n *Network) ListenPeer(address string, at Place, core schema.DRPCPeerServer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers[address] = core
+	n.places[address] = at
+}
+
+// Close stops serving an address; calls to it are refused.
+func (n *Network) Close(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.endpoints, address)
+	delete(n.peers, address)
+}
+
+// SetCut replaces the rule that says which links drop everything, by direction.
+func (n *Network) SetCut(cut func(from, to Place) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if cut == nil {
+		cut = func(_, _ Place) bool { return false }
+	}
+	n.cut = cut
+}
+
+// travel waits for the one-way delay, or until the context ends on a cut link.
+func (n *Network) travel(ctx context.Context, from, to Place) error {
+	n.mu.Lock()
+	cut := n.cut(from, to)
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	delay := n.cfg.Regions
+	switch {
+	case from.AvailabilityZone == to.AvailabilityZone:
+		delay = n.cfg.SameZone
+	case from.Region == to.Region:
+		delay = n.cfg.SameRegion
+	}
+	if delay == 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Transport returns the transport of an HTTP client at a place.
+func (n *Network) Transport(from Place) http.RoundTripper {
+	return transport{n, from}
+}
+
+type transport struct {
+	network *Network
+	from    Place
+}
+
+// RoundTrip implements http.RoundTripper. The answer is passed on when the
+// handler has ended.
+func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	n, ctx := t.network, req.Context()
+	address := req.URL.Host
+	n.mu.Lock()
+	e, ok := n.endpoints[address]
+	to := n.places[address]
+	n.mu.Unlock()
+	if err := n.travel(ctx, t.from, to); err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, ErrRefused
+	}
+	var body []byte
+	if req.Body != nil {
+		var err error
+		if body, err = io.ReadAll(req.Body); err != nil {
+			return nil, err
+		}
+		_ = req.Body.Close()
+	}
+	in := req.Clone(ctx)
+	in.Body = io.NopCloser(bytes.NewReader(body))
+	in.RemoteAddr = "127.0.0.1:1"
+	in.RequestURI = req.URL.RequestURI()
+	rec := httptest.NewRecorder()
+	if err := serveRecovered(e.handler, rec, in); err != nil {
+		return nil, err
+	}
+	if err := n.travel(ctx, to, t.from); err != nil {
+		return nil, err
+	}
+	resp := rec.Result()
+	resp.Request = req
+	return resp, nil
+}
+
+// serveRecovered runs a handler and turns an aborted answer into an error.
+func serveRecovered(h http.Handler, w http.ResponseWriter, r *http.Request) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = io.ErrUnexpectedEOF
+		}
+	}()
+	h.ServeHTTP(w, r)
+	return r.Context().Err()
+}
+
+// Peer returns a client for the host at a peer address, called from a place.
+func (n *Network) Peer(from Place) func(context.Context, string) schema.DRPCPeerClient {
+	return func(_ context.Context, address string) schema.DRPCPeerClient {
+		return schema.NewDRPCPeerClient(peerConn{n, from, address})
+	}
+}
--- /dev/null
+++ b/pkg/emulator/peerconn.go
@@ -0,0 +1,75 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"catkindyke/pkg/schema"
+)
+
+// errNoStreams says that only unary calls are carried.
+var errNoStreams = errors.New("streams are not carried")
+
+// peerConn carries unary drpc calls over a Network.
+type peerConn struct {
+	network *Network
+	from    Place
+	address string
+}
+
+// Invoke implements drpc.Conn.
+func (c peerConn) Invoke(ctx context.Context, rpc string, _ drpc.Encoding, in, out drpc.Message) error {
+	n := c.network
+	n.mu.Lock()
+	core, ok := n.peers[c.address]
+	to := n.places[c.address]
+	n.mu.Unlock()
+	if err := n.travel(ctx, c.from, to); err != nil {
+		return err
+	}
+	if !ok {
+		return ErrRefused
+	}
+	result, err := dispatch(ctx, core, rpc, in)
+	if err != nil {
+		return err
+	}
+	if err := n.travel(ctx, to, c.from); err != nil {
+		return err
+	}
+	proto.Merge(out.(proto.Message), result)
+	return nil
+}
+
+// dispatch calls the method that a drpc description names.
+func dispatch(ctx context.Context, core schema.DRPCPeerServer, rpc string, in drpc.Message) (proto.Message, error) {
+	var desc schema.DRPCPeerDescription
+	for i := range desc.NumMethods() {
+		name, _, receiver, _, ok := desc.Method(i)
+		if ok && name == rpc {
+			result, err := receiver(core, ctx, proto.Clone(in.(proto.Message)), nil)
+			if err != nil {
+				return nil, err
+			}
+			return result.(proto.Message), nil
+		}
+	}
+	return nil, errors.New("unknown method " + rpc)
+}
+
+// NewStream implements drpc.Conn.
+func (c peerConn) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errNoStreams
+}
+
+// Close implements drpc.Conn.
+func (c peerConn) Close() error { return nil }
+
+// Closed implements drpc.Conn.
+func (c peerConn) Closed() <-chan struct{} { return nil }
+
+// Unblocked implements drpc.Conn.
+func (c peerConn) Unblocked() <-chan struct{} { return nil }
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -8,6 +8,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -22,8 +24,14 @@
 // ErrUnknown says that the store gave no answer, so the change may be accepted or not.
 var ErrUnknown = errors.New("the store gave no answer; the change may have been accepted")
 
-// resolveAttempts is how often the head is read back after a lost answer.
-const resolveAttempts = 5
+const (
+	// rememberedAttempts is the number of earlier attempts that a head names. More
+	// changes than this within the time of one write's tries are not expected.
+	rememberedAttempts = 16
+	// writeAttempts is how often a head is written while its outcome is unknown.
+	writeAttempts = 5
+	retryWait     = 200 * time.Millisecond
+)
 
 // Publisher writes documents.
 type Publisher struct {
@@ -37,17 +45,13 @@
 
 // Read returns the document in the store; a kind never written gives version 0 and no content.
 func (p *Publisher) Read(ctx context.Context, kind string) (*schema.Head, []byte, error) {
-	obj, err := p.store.Get(ctx, replicator.HeadName(kind))
+	head, err := p.readHead(ctx, kind)
 	if errors.Is(err, storeclient.ErrNotFound) {
 		return &schema.Head{}, nil, nil
 	}
 	if err != nil {
 		return nil, nil, err
 	}
-	head := &schema.Head{}
-	if err := proto.Unmarshal(obj.Value, head); err != nil {
-		return nil, nil, fmt.Errorf("%w: head of %s: %v", replicator.ErrCorrupt, kind, err)
-	}
 	content, err := p.store.Get(ctx, replicator.ContentName(kind, head.GetSha256()))
 	if err != nil {
 		return nil, nil, err
@@ -62,7 +66,20 @@
 // Write puts content in force if the document still has version ifVersion. It
 // returns the new head. A lost answer is resolved by the attempt's identity.
 func (p *Publisher) Write(ctx context.Context, kind string, content []byte, ifVersion uint64, summary string) (*schema.Head, error) {
-	head := &schema.Head{Version: ifVersion + 1, Sha256: replicator.Sum(content), AttemptId: newAttemptID(), Summary: summary}
+	before, err := p.readHead(ctx, kind)
+	if errors.Is(err, storeclient.ErrNotFound) {
+		before, err = &schema.Head{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if before.GetVersion() != ifVersion {
+		return nil, conflict(kind, before)
+	}
+	head := &schema.Head{
+		Version: ifVersion + 1, Sha256: replicator.Sum(content), AttemptId: newAttemptID(), Summary: summary,
+		EarlierAttemptIds: earlierAttempts(before),
+	}
 	name := replicator.ContentName(kind, head.GetSha256())
 	if _, err := p.store.Put(ctx, name, content, 0); err != nil && !errors.Is(err, storeclient.ErrConflict) {
 		if _, getErr := p.store.Get(ctx, name); getErr != nil {
@@ -73,43 +90,73 @@
 	if err != nil {
 		return nil, err
 	}
-	_, err = p.store.Put(ctx, replicator.HeadName(kind), value, ifVersion)
-	switch {
-	case err == nil:
-		return head, nil
-	case errors.Is(err, storeclient.ErrConflict), errors.Is(err, storeclient.ErrUnavailable):
-		return p.resolve(ctx, kind, head, err)
-	default:
-		return nil, err
-	}
+	return p.writeHead(ctx, kind, head, value, ifVersion)
 }
 
-// resolve decides by reading back whether an attempt took effect. A conflict is
-// read back too, because a repeat of the call below the client may have
-// conflicted with its own first try.
-func (p *Publisher) resolve(ctx context.Context, kind string, attempt *schema.Head, cause error) (*schema.Head, error) {
-	for range resolveAttempts {
-		obj, err := p.store.Get(ctx, replicator.HeadName(kind))
-		if errors.Is(err, storeclient.ErrNotFound) {
-			return nil, fmt.Errorf("%w: %v", ErrUnknown, cause)
+// writeHead repeats the same conditional update until its outcome is known. A
+// repeat is safe: if an earlier try took effect, the repeat conflicts and the
+// head read back carries the attempt's identity.
+func (p *Publisher) writeHead(ctx context.Context, kind string, head *schema.Head, value []byte, ifVersion uint64) (*schema.Head, error) {
+	var err error
+	for try := range writeAttempts {
+		if try > 0 {
+			pause(ctx, retryWait)
 		}
-		if err != nil {
-			continue
+		_, err = p.store.Put(ctx, replicator.HeadName(kind), value, ifVersion)
+		if err == nil {
+			return head, nil
 		}
-		now := &schema.Head{}
-		if err := proto.Unmarshal(obj.Value, now); err != nil {
-			return nil, err
+		if errors.Is(err, storeclient.ErrConflict) {
+			now, readErr := p.readHead(ctx, kind)
+			if readErr != nil {
+				err = readErr
+				continue
+			}
+			if now.GetAttemptId() == head.GetAttemptId() || slices.Contains(now.GetEarlierAttemptIds(), head.GetAttemptId()) {
+				return head, nil
+			}
+			return nil, conflict(kind, now)
 		}
-		switch {
-		case now.GetAttemptId() == attempt.GetAttemptId():
-			return attempt, nil
-		case now.GetVersion() >= attempt.GetVersion():
-			return nil, fmt.Errorf("%w: %s is at version %d: %s", ErrConflict, kind, now.GetVersion(), now.GetSummary())
+		if !errors.Is(err, storeclient.ErrUnavailable) {
+			return nil, err
 		}
-		// The head is still older: a write whose answer was lost may yet arrive.
-		return nil, fmt.Errorf("%w: %v", ErrUnknown, cause)
 	}
-	return nil, fmt.Errorf("%w: %v", ErrUnknown, cause)
+	return nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+}
+
+// conflict names the change that was accepted first.
+func conflict(kind string, now *schema.Head) error {
+	return fmt.Errorf("%w: %s is at version %d: %s", ErrConflict, kind, now.GetVersion(), now.GetSummary())
+}
+
+// earlierAttempts returns the identities that the head after before remembers.
+func earlierAttempts(before *schema.Head) []string {
+	if before.GetVersion() == 0 {
+		return nil
+	}
+	ids := append([]string{before.GetAttemptId()}, before.GetEarlierAttemptIds()...)
+	return ids[:min(len(ids), rememberedAttempts)]
+}
+
+func (p *Publisher) readHead(ctx context.Context, kind string) (*schema.Head, error) {
+	obj, err := p.store.Get(ctx, replicator.HeadName(kind))
+	if err != nil {
+		return nil, err
+	}
+	head := &schema.Head{}
+	if err := proto.Unmarshal(obj.Value, head); err != nil {
+		return nil, fmt.Errorf("%w: head of %s: %v", replicator.ErrCorrupt, kind, err)
+	}
+	return head, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 func newAttemptID() string {
--- /dev/null
+++ b/pkg/replicator/startup.go
@@ -0,0 +1,88 @@
+package replicator
+
+import "catkindyke/pkg/clock"
+
+// StoreWait is the time after the start for which a host waits for the store
+// before it takes its state from peers alone.
+const StoreWait = 3 * clock.Second
+
+// Startup decides when a starting host knows enough to serve. Hosts keep
+// nothing over a restart, so a host that served the first version it saw could
+// go back behind what it had in force before.
+type Startup struct {
+	started clock.Millis
+	needed  map[string]uint64
+	store   bool
+	hosts   bool
+	asked   map[string]bool
+	peers   int
+	ready   bool
+}
+
+// NewStartup returns the state of a host that starts now.
+func NewStartup(now clock.Millis) *Startup {
+	return &Startup{started: now, needed: make(map[string]uint64), asked: make(map[string]bool)}
+}
+
+// StoreHeads takes the versions of all heads in the store.
+func (s *Startup) StoreHeads(versions map[string]uint64) {
+	s.store = true
+	s.need(versions)
+}
+
+// HostsRead notes that the platform's list of hosts was read.
+func (s *Startup) HostsRead() { s.hosts = true }
+
+// Asked notes that a first call to a peer is under way.
+func (s *Startup) Asked(address string) {
+	if _, ok := s.asked[address]; !ok {
+		s.asked[address] = false
+	}
+}
+
+// Answered notes that a call to a peer ended. Versions are nil when it failed,
+// or when the peer is itself starting and has nothing to vouch for.
+func (s *Startup) Answered(address string, versions map[string]uint64) {
+	s.asked[address] = true
+	if versions != nil {
+		s.peers++
+		s.need(versions)
+	}
+}
+
+func (s *Startup) need(versions map[string]uint64) {
+	for kind, v := range versions {
+		s.needed[kind] = max(s.needed[kind], v)
+	}
+}
+
+// Ready reports whether the documents held are as new as everything heard. The
+// host must have heard from the store, or after StoreWait from a peer that
+// serves, and must have tried each peer that it knows. Once ready it stays so.
+func (s *Startup) Ready(have map[string]uint64, now clock.Millis) bool {
+	if s.ready {
+		return true
+	}
+	if have[Config] == 0 || !s.heard(now) {
+		return false
+	}
+	for _, done := range s.asked {
+		if !done {
+			return false
+		}
+	}
+	for kind, v := range s.needed {
+		if have[kind] < v {
+			return false
+		}
+	}
+	s.ready = true
+	return true
+}
+
+func (s *Startup) heard(now clock.Millis) bool {
+	if s.store && s.hosts {
+		return true
+	}
+	return now-s.started >= StoreWait && s.peers > 0
+}
--- /dev/null
+++ b/pkg/runner/documents_test.go
@@ -0,0 +1,143 @@
+package runner
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+)
+
+// Limits of the design page for a change to be in force everywhere.
+const (
+	inForceTarget = 2 * time.Second
+	inForceLimit  = 14 * time.Second
+)
+
+// TestRequestThroughFleet guards against a break on the path from key to answer.
+func TestRequestThroughFleet(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		time.Sleep(time.Second)
+		assertStatus(t, fl.get("host-0", "/dispatch/x", testKey), http.StatusOK, "granted key")
+		assertStatus(t, fl.get("host-0", "/dispatch/x", "other"), http.StatusUnauthorized, "unknown key")
+		assertStatus(t, fl.get("host-0", "/dispatch/open", ""), http.StatusOK, "open route")
+		assertStatus(t, fl.get("host-0", "/nothing/x", testKey), http.StatusNotFound, "unknown service")
+	})
+}
+
+// TestWithdrawnKeyStops guards against a key that goes on working after its withdrawal.
+func TestWithdrawnKeyStops(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		version := fl.write(replicator.Keys, &schema.Keys{})
+		took := fl.waitFor("withdrawal", inForceTarget, fl.inForce(replicator.Keys, version))
+		t.Logf("in force after %s", took)
+		for name := range fl.hosts {
+			assertStatus(t, fl.get(name, "/dispatch/x", testKey), http.StatusUnauthorized, "withdrawn key at "+name)
+		}
+	})
+}
+
+// TestChangeWithSilentWatches guards against hosts that rely on watches alone.
+func TestChangeWithSilentWatches(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.platform.SetFaults(emulator.Faults{SilentWatches: true})
+		version := fl.write(replicator.Keys, &schema.Keys{})
+		fl.waitFor("change", inForceTarget, fl.inForce(replicator.Keys, version))
+	})
+}
+
+// TestChangeWithHalfCutOff guards against hosts that learn of changes from the store alone.
+func TestChangeWithHalfCutOff(t *testing.T) {
+	withFleet(t, 8, func(fl *fleet) {
+		store := emulator.Place{Region: "store"}
+		fl.network.Listen("store:1", store, fl.platform)
+		fl.network.SetCut(func(from, to emulator.Place) bool {
+			return from.Region == "south" && to == store || from == store && to.Region == "south"
+		})
+		version := fl.write(replicator.Keys, &schema.Keys{})
+		fl.waitFor("change", inForceTarget, fl.inForce(replicator.Keys, version))
+	})
+}
+
+// TestStartWithStoreDown guards against a host that starts with no state, or
+// with an old one, while the store is down.
+func TestStartWithStoreDown(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		version := fl.write(replicator.Keys, &schema.Keys{})
+		fl.waitFor("change", inForceLimit, fl.inForce(replicator.Keys, version))
+		fl.platform.SetFaults(emulator.Faults{Down: true})
+		fl.kill("host-0")
+		h := fl.startWithSeeds("host-0", testPlaces[0], "host-1:2")
+		fl.waitFor("restarted host", inForceLimit, func() bool { return h.Snapshot().Ready() })
+		if got := h.Snapshot().Versions()[replicator.Keys]; got != version {
+			t.Errorf("restarted host has version %d in force, want %d", got, version)
+		}
+	})
+}
+
+// TestStartAlone guards against a host that claims to be ready with neither store nor peers.
+func TestStartAlone(t *testing.T) {
+	withFleet(t, 1, func(fl *fleet) {
+		fl.platform.SetFaults(emulator.Faults{Down: true})
+		fl.kill("host-0")
+		h := fl.startWithSeeds("host-0", testPlaces[0], "host-9:2")
+		time.Sleep(time.Minute)
+		if h.Snapshot().Ready() {
+			t.Error("host is ready without any state")
+		}
+		assertStatus(t, fl.get("host-0", "/dispatch/x", testKey), http.StatusServiceUnavailable, "request")
+	})
+}
+
+// TestStoreOutageKeepsServing guards against keys that stop working because the store is down.
+func TestStoreOutageKeepsServing(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.platform.SetFaults(emulator.Faults{Down: true})
+		time.Sleep(time.Hour)
+		for name := range fl.hosts {
+			assertStatus(t, fl.get(name, "/dispatch/x", testKey), http.StatusOK, "request in an outage at "+name)
+		}
+	})
+}
+
+// TestIsolatedHostRefusesKeys guards against a withdrawn key that works for
+// longer than the stated bound at a host that cannot learn of the withdrawal.
+func TestIsolatedHostRefusesKeys(t *testing.T) {
+	withFleet(t, 5, func(fl *fleet) {
+		alone := emulator.Place{Region: "north", AvailabilityZone: "alone"}
+		fl.start("host-9", alone)
+		fl.waitFor("host ready", inForceLimit, fl.allReady)
+		time.Sleep(2 * time.Second)
+		fl.network.SetCut(func(from, to emulator.Place) bool { return from == alone || to == alone })
+		time.Sleep(11 * time.Second)
+		resp := fl.get("host-9", "/dispatch/x", testKey)
+		assertStatus(t, resp, http.StatusServiceUnavailable, "request at the isolated host")
+		if got := resp.Header.Get("Catkindyke-Outcome"); got != "not_run" {
+			t.Errorf("outcome %q, want not_run", got)
+		}
+		assertStatus(t, fl.get("host-0", "/dispatch/x", testKey), http.StatusOK, "request at another host")
+	})
+}
+
+// TestKeyOfFormsNeverReachBackends guards against a key that is passed on in another header.
+func TestKeyOfFormsNeverReachBackends(t *testing.T) {
+	withFleet(t, 2, func(fl *fleet) {
+		time.Sleep(time.Second)
+		for _, h := range []http.Header{
+			{authenticator.KeyHeader: {testKey}},
+			{"Authorization": {"Bearer " + testKey}},
+			{"Authorization": {"bearer  " + testKey}, "Proxy-Authorization": {testKey}},
+		} {
+			resp := fl.send("host-0", http.MethodGet, "/dispatch/x", h, "")
+			assertStatus(t, resp, http.StatusOK, "request")
+		}
+		for name, b := range fl.backends {
+			if b.KeysSeen() > 0 {
+				t.Errorf("%s saw a key", name)
+			}
+		}
+	})
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -36,8 +36,15 @@
 	StoreURL string
 	// Seeds are peer addresses of other hosts, used while the store is down.
 	Seeds []string
-	// Caller, Operator and Peer are the listeners; the host closes them.
+	// Caller, Operator and Peer are the listeners; the host closes them. A host
+	// without listeners is reached through its handlers.
 	Caller, Operator, Peer net.Listener
+	// CallerAddress and PeerAddress are announced to others; those of the listeners when empty.
+	CallerAddress, PeerAddress string
+	// StoreTransport and BackendTransport replace real connections when set.
+	StoreTransport, BackendTransport http.RoundTripper
+	// Dial replaces real connections to other hosts when set.
+	Dial func(ctx context.Context, address string) schema.DRPCPeerClient
 	// CallerTLS serves callers with TLS when set.
 	CallerTLS *tls.Config
 	// PeerServerTLS and PeerClientTLS are the two sides of mutual TLS between hosts.
@@ -64,6 +71,9 @@
 	pools      *pools
 }
 
+// backendConnections is the largest number of connections to one backend server.
+const backendConnections = 64
+
 // Header limits protect a host from callers that send too much or too slowly.
 const (
 	maxHeaderBytes    = 64 << 10
@@ -73,6 +83,7 @@
 
 // Start assembles a host and starts it.
 func Start(cfg Config) (*Host, error) {
+	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{cfg: cfg, meter: meter.New(), cancel: cancel, pools: newPools()}
 	provider, err := tracer.New(ctx, cfg.Tracing)
@@ -81,40 +92,61 @@
 		return nil, err
 	}
 	h.tracing = provider
-	h.store = storeclient.New(storeclient.Config{BaseURL: cfg.StoreURL})
+	h.store = storeclient.New(storeclient.Config{BaseURL: cfg.StoreURL, Transport: cfg.StoreTransport})
 	h.dialer = dialer.New(dialer.Config{TLS: cfg.PeerClientTLS})
+	if h.cfg.Dial == nil {
+		h.cfg.Dial = h.dialer.Peer
+	}
 	clk := clock.New()
 	h.controller = controller.New(controller.Config{
 		Self: snapshotter.Host{
 			Name: cfg.Name, Incarnation: uint64(time.Now().UnixNano()), Region: cfg.Region,
-			AvailabilityZone: cfg.AvailabilityZone, Address: cfg.Caller.Addr().String(),
-			PeerAddress: cfg.Peer.Addr().String(),
+			AvailabilityZone: cfg.AvailabilityZone, Address: cfg.CallerAddress,
+			PeerAddress: cfg.PeerAddress,
 		},
-		Store: h.store, Peer: h.dialer.Peer, Seeds: cfg.Seeds, Clock: clk, Pools: h.poolLoads,
+		Store: h.store, Peer: h.cfg.Dial, Seeds: cfg.Seeds, Clock: clk, Pools: h.poolLoads,
 		Log: cfg.Log.For(logger.Control), Meter: h.meter,
 	})
 	h.forwarder = forwarder.New(forwarder.Config{
 		Snapshot: h.controller.Snapshot, Admit: h.controller.Admit, Acquire: h.acquire,
 		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
-		Transport: forwarder.NewTransport(64),
+		Transport: cfg.BackendTransport,
 	})
+	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder}
+	h.caller = newServer(apiserver.Caller(api))
+	h.operator = newServer(apiserver.Operator(api))
 	if err := h.listen(ctx); err != nil {
 		cancel()
 		return nil, err
 	}
+	go h.controller.Run(ctx)
 	return h, nil
 }
 
+// withDefaults fills in what the listeners and the real network determine.
+func (cfg Config) withDefaults() Config {
+	if cfg.CallerAddress == "" && cfg.Caller != nil {
+		cfg.CallerAddress = cfg.Caller.Addr().String()
+	}
+	if cfg.PeerAddress == "" && cfg.Peer != nil {
+		cfg.PeerAddress = cfg.Peer.Addr().String()
+	}
+	if cfg.BackendTransport == nil {
+		cfg.BackendTransport = forwarder.NewTransport(backendConnections)
+	}
+	return cfg
+}
+
+// listen serves the listeners, if there are any.
 func (h *Host) listen(ctx context.Context) error {
-	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder}
-	h.caller = newServer(apiserver.Caller(api))
-	h.operator = newServer(apiserver.Operator(api))
-	peer, err := peerserver.New(peerserver.Config{Core: &peerCore{h}, TLS: h.cfg.PeerServerTLS})
+	if h.cfg.Caller == nil {
+		return nil
+	}
+	peer, err := peerserver.New(peerserver.Config{Core: h.PeerCore(), TLS: h.cfg.PeerServerTLS})
 	if err != nil {
 		return err
 	}
 	h.peer = peer
-	go h.controller.Run(ctx)
 	go func() { _ = h.peer.Serve(ctx, h.cfg.Peer) }()
 	go func() { _ = h.operator.Serve(h.cfg.Operator) }()
 	l := h.cfg.Caller
@@ -141,14 +173,23 @@
 // Store returns the host's client of the object API.
 func (h *Host) Store() *storeclient.Client { return h.store }
 
+// CallerHandler returns the handler for callers.
+func (h *Host) CallerHandler() http.Handler { return h.caller.Handler }
+
+// OperatorHandler returns the handler for operators.
+func (h *Host) OperatorHandler() http.Handler { return h.operator.Handler }
+
+// PeerCore returns what answers the calls of other hosts.
+func (h *Host) PeerCore() schema.DRPCPeerServer { return &peerCore{h} }
+
 // CallerAddress returns the address for callers.
-func (h *Host) CallerAddress() string { return h.cfg.Caller.Addr().String() }
+func (h *Host) CallerAddress() string { return h.cfg.CallerAddress }
 
 // OperatorAddress returns the address for operators.
 func (h *Host) OperatorAddress() string { return h.cfg.Operator.Addr().String() }
 
 // PeerAddress returns the address for other hosts.
-func (h *Host) PeerAddress() string { return h.cfg.Peer.Addr().String() }
+func (h *Host) PeerAddress() string { return h.cfg.PeerAddress }
 
 // stopMargin is added to the look-up age, so that an answer on its way is covered.
 const stopMargin = 2 * time.Second
@@ -174,7 +215,9 @@
 	h.cancel()
 	_ = h.caller.Close()
 	_ = h.operator.Close()
-	_ = h.cfg.Peer.Close()
+	if h.cfg.Peer != nil {
+		_ = h.cfg.Peer.Close()
+	}
 	_ = h.dialer.Close()
 }
 
