Test that a restarted host ignores a stale peer

Change: a scenario with one stale and one current peer while the store is down. With the rule broken (ready with the first version seen) the test fails; with the rule it passes.

--- a/pkg/runner/documents_test.go
+++ b/pkg/runner/documents_test.go
@@ -78,6 +78,32 @@
 	})
 }
 
+// TestStartWithStalePeer guards against a restarted host that serves the old
+// version of a peer although another peer has a newer one.
+func TestStartWithStalePeer(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		time.Sleep(2 * time.Second)
+		stale, fresh := testPlaces[2], testPlaces[0]
+		fl.network.SetCut(func(from, to emulator.Place) bool {
+			return from != to && (from == stale || to == stale) && from != fresh && to != fresh
+		})
+		fl.kill("host-0")
+		version := fl.write(replicator.Keys, &schema.Keys{})
+		fl.waitFor("change", inForceTarget, func() bool {
+			return fl.hosts["host-1"].Snapshot().Versions()[replicator.Keys] == version
+		})
+		fl.platform.SetFaults(emulator.Faults{Down: true})
+		if got := fl.hosts["host-2"].Snapshot().Versions()[replicator.Keys]; got == version {
+			t.Fatal("host-2 was meant to be cut off from the change")
+		}
+		h := fl.startWithSeeds("host-0", fresh, "host-2:2", "host-1:2")
+		fl.waitFor("restarted host", inForceLimit, func() bool { return h.Snapshot().Ready() })
+		if got := h.Snapshot().Versions()[replicator.Keys]; got != version {
+			t.Errorf("restarted host serves version %d, want %d", got, version)
+		}
+	})
+}
+
 // TestStartAlone guards against a host that claims to be ready with neither store nor peers.
 func TestStartAlone(t *testing.T) {
 	withFleet(t, 1, func(fl *fleet) {
--- a/pkg/runner/fleet_test.go
+++ b/pkg/runner/fleet_test.go
@@ -38,7 +38,7 @@
 	storeURL = "http://store:1"
 )
 
-var storePlace = emulator.Place{Region: "north", AvailabilityZone: "north-a"}
+var storePlace = emulator.Place{Region: "north", AvailabilityZone: "north-store"}
 
 // withFleet builds hosts spread over two regions with two zones each, runs f
 // in virtual time and stops everything.
@@ -46,15 +46,13 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t)
+		defer synctest.Wait()
+		defer fl.killAll()
 		for n := range hosts {
 			fl.start(fmt.Sprintf("host-%d", n), testPlaces[n%len(testPlaces)])
 		}
 		fl.waitFor("all hosts ready", 10*time.Second, fl.allReady)
 		f(fl)
-		for _, h := range fl.hosts {
-			h.Kill()
-		}
-		synctest.Wait()
 	})
 }
 
@@ -133,6 +131,12 @@
 	delete(fl.hosts, name)
 }
 
+func (fl *fleet) killAll() {
+	for name := range fl.hosts {
+		fl.kill(name)
+	}
+}
+
 // write puts a document in force at the version after the one in the store.
 func (fl *fleet) write(kind string, msg proto.Message) uint64 {
 	fl.t.Helper()
