Add TLS with reloaded keys, drain and undrain

Cause: hosts talked in the clear and strangers could call the port between hosts; operators had no way to take a target out of service.

Change: pkg/reloader serves certificates from files, reads them again when they change and keeps the old ones when the new ones are bad; hosts use mutual TLS 1.3 with the name host.catkindyke, serve refuses to run without it unless -insecure-peers is given. drain and undrain change the drains document.

Checked (go test ./pkg/reloader): another authority, another name and no certificate are refused; a rotation needs no restart.

--- /dev/null
+++ b/cmd/catkindyke/commander/drain.go
@@ -0,0 +1,139 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+)
+
+// errUnknownTarget says that the configuration in force names no such target.
+var errUnknownTarget = errors.New("no such target in the configuration in force")
+
+// drainKinds are the kinds of target of drain and undrain.
+const drainKinds = "host|backend_server|availability_zone|region"
+
+func (c *Commander) drainCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("drain", flag.ContinueOnError)
+	store := storeFlag(fs)
+	lost := fs.Bool("lost", false, "the host is lost for good; other hosts take its share slots. Wrong use lets a workspace exceed its rate")
+	return c.command(ffcli.Command{
+		Name: "drain", ShortUsage: "catkindyke drain [flags] " + drainKinds + " NAME",
+		ShortHelp: "Takes a host, backend server, availability zone or region out of service.", FlagSet: fs,
+		LongHelp: "New work stops within a few seconds; work in flight ends. A drained host stays up and serves callers with a cached answer.",
+		Exec: func(ctx context.Context, args []string) error {
+			return c.changeDrains(ctx, *store, args, *lost, true)
+		},
+	})
+}
+
+func (c *Commander) undrainCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("undrain", flag.ContinueOnError)
+	store := storeFlag(fs)
+	lost := fs.Bool("lost", false, "take back the word that a host is lost")
+	return c.command(ffcli.Command{
+		Name: "undrain", ShortUsage: "catkindyke undrain [flags] " + drainKinds + " NAME",
+		ShortHelp: "Puts a drained target back in service.", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			return c.changeDrains(ctx, *store, args, *lost, false)
+		},
+	})
+}
+
+func (c *Commander) changeDrains(ctx context.Context, store string, args []string, lost, add bool) error {
+	if len(args) != 2 {
+		return usageError("a kind (%s) and a name are needed", drainKinds)
+	}
+	kind, name := args[0], args[1]
+	if lost && kind != "host" {
+		return usageError("-lost is for hosts only")
+	}
+	if drainList(&schema.Drains{}, kind, lost) == nil {
+		return usageError("unknown kind %q; use %s", kind, drainKinds)
+	}
+	p := publisher.New(newStore(store))
+	if add {
+		if err := checkTarget(ctx, p, kind, name); err != nil {
+			return err
+		}
+	}
+	verb := map[bool]string{true: "drain", false: "undrain"}[add]
+	head, err := publisher.Change(ctx, p, replicator.Drains, verb+" "+kind+" "+name, func(d *schema.Drains) error {
+		list := drainList(d, kind, lost)
+		*list = slices.DeleteFunc(*list, func(have string) bool { return have == name })
+		if add {
+			*list = append(*list, name)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.stdout, "version %d accepted\n", head.GetVersion())
+	return nil
+}
+
+// drainList returns the list that a kind of target is kept in, nil for an unknown kind.
+func drainList(d *schema.Drains, kind string, lost bool) *[]string {
+	switch {
+	case kind == "host" && lost:
+		return &d.LostHosts
+	case kind == "host":
+		return &d.Hosts
+	case kind == "backend_server":
+		return &d.BackendServers
+	case kind == "availability_zone":
+		return &d.AvailabilityZones
+	case kind == "region":
+		return &d.Regions
+	}
+	return nil
+}
+
+// checkTarget refuses names that the configuration in force does not have.
+// Hosts are not part of the configuration, so their names are not checked.
+func checkTarget(ctx context.Context, p *publisher.Publisher, kind, name string) error {
+	if kind == "host" {
+		return nil
+	}
+	_, content, err := p.Read(ctx, replicator.Config)
+	if err != nil {
+		return err
+	}
+	cfg := &schema.Config{}
+	if err := proto.Unmarshal(content, cfg); err != nil {
+		return err
+	}
+	if !slices.Contains(targetNames(cfg, kind), name) {
+		return fmt.Errorf("%w: %s %q", errUnknownTarget, kind, name)
+	}
+	return nil
+}
+
+func targetNames(cfg *schema.Config, kind string) []string {
+	var names []string
+	for _, r := range cfg.GetRegions() {
+		switch kind {
+		case "region":
+			names = append(names, r.GetName())
+		case "availability_zone":
+			names = append(names, r.GetAvailabilityZones()...)
+		}
+	}
+	if kind == "backend_server" {
+		for _, s := range cfg.GetServices() {
+			for _, b := range s.GetBackendServers() {
+				names = append(names, b.GetName())
+			}
+		}
+	}
+	return names
+}
--- a/cmd/catkindyke/commander/serve.go
+++ b/cmd/catkindyke/commander/serve.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"catkindyke/pkg/logger"
+	"catkindyke/pkg/reloader"
 	"catkindyke/pkg/runner"
 	"catkindyke/pkg/tracer"
 )
@@ -24,6 +25,8 @@
 	traceEndpoint           string
 	traceRatio              float64
 	stopTimeout             time.Duration
+	insecurePeers           bool
+	peerFiles, callerFiles  reloader.Config
 }
 
 func (c *Commander) serveCommand() *ffcli.Command {
@@ -42,6 +45,12 @@
 	fs.StringVar(&f.traceEndpoint, "trace-endpoint", "", "URL of an OTLP/HTTP collector for traces; none when empty")
 	fs.Float64Var(&f.traceRatio, "trace-ratio", 0.01, "share of requests that are traced, from 0 to 1")
 	fs.DurationVar(&f.stopTimeout, "stop-timeout", 10*time.Minute, "longest time of a planned stop, as a duration such as 90s")
+	fs.StringVar(&f.peerFiles.CertFile, "peer-cert", "", "PEM file with this host's certificate for other hosts, DNS name "+reloader.PeerName)
+	fs.StringVar(&f.peerFiles.KeyFile, "peer-key", "", "PEM file with the private key of -peer-cert")
+	fs.StringVar(&f.peerFiles.CAFile, "peer-ca", "", "PEM file with the certificates that sign hosts' certificates")
+	fs.BoolVar(&f.insecurePeers, "insecure-peers", false, "talk to other hosts without TLS; for trials on one machine only")
+	fs.StringVar(&f.callerFiles.CertFile, "caller-cert", "", "PEM file with the certificate for callers; plain HTTP when empty")
+	fs.StringVar(&f.callerFiles.KeyFile, "caller-key", "", "PEM file with the private key of -caller-cert")
 	return c.command(ffcli.Command{
 		Name: "serve", ShortUsage: "catkindyke serve [flags]",
 		ShortHelp: "Runs one entry host until it is interrupted.", FlagSet: fs,
@@ -67,6 +76,9 @@
 		Name: f.name, Region: f.region, AvailabilityZone: f.zone, StoreURL: f.store, Seeds: splitList(f.seeds),
 		Log: log, Tracing: tracer.Config{Endpoint: f.traceEndpoint, Host: f.name, SampleRatio: f.traceRatio},
 	}
+	if err := f.setTLS(&cfg); err != nil {
+		return err
+	}
 	if err := listenAll(&cfg, f.caller, f.operator, f.peer); err != nil {
 		return err
 	}
@@ -82,6 +94,29 @@
 	return host.Stop(stopCtx)
 }
 
+// setTLS loads the certificates towards other hosts and callers.
+func (f serveFlags) setTLS(cfg *runner.Config) error {
+	if !f.insecurePeers {
+		if f.peerFiles.CertFile == "" || f.peerFiles.KeyFile == "" || f.peerFiles.CAFile == "" {
+			return usageError("-peer-cert, -peer-key and -peer-ca are needed, or -insecure-peers for a trial on one machine")
+		}
+		peers, err := reloader.New(f.peerFiles)
+		if err != nil {
+			return err
+		}
+		cfg.PeerServerTLS, cfg.PeerClientTLS = peers.PeerServer(), peers.PeerClient()
+	}
+	if f.callerFiles.CertFile == "" {
+		return nil
+	}
+	callers, err := reloader.New(f.callerFiles)
+	if err != nil {
+		return err
+	}
+	cfg.CallerTLS = callers.Caller()
+	return nil
+}
+
 func listenAll(cfg *runner.Config, caller, operator, peer string) error {
 	for _, l := range []struct {
 		out     *net.Listener
--- /dev/null
+++ b/pkg/reloader/reloader.go
@@ -0,0 +1,177 @@
+// Package reloader serves TLS certificates from files and reads them again when
+// they change, so that keys are rotated without a restart.
+package reloader
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// PeerName is the DNS name that the certificate of every host carries. Hosts
+// are replaced at any time and known by IP numbers that change, so the name
+// says that the bearer is a host of the fleet, not which one.
+const PeerName = "host.catkindyke"
+
+// checkInterval is the shortest time between two looks at the files.
+const checkInterval = time.Second
+
+// ErrNoCA says that a CA file holds no certificate.
+var ErrNoCA = errors.New("no certificate in CA file")
+
+// Config names the files, all PEM.
+type Config struct {
+	// CertFile holds the certificate chain.
+	CertFile string
+	// KeyFile holds the private key.
+	KeyFile string
+	// CAFile holds the certificates that sign hosts' certificates; not needed towards callers.
+	CAFile string
+}
+
+// Reloader holds the newest good certificates. When changed files cannot be
+// read, the earlier ones stay in use.
+type Reloader struct {
+	cfg Config
+
+	mu      sync.Mutex
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+	stamp   [3]time.Time
+	checked time.Time
+	failed  error
+}
+
+// New reads the files once and fails when they are not good.
+func New(cfg Config) (*Reloader, error) {
+	r := &Reloader{cfg: cfg}
+	if err := r.load(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Err returns why the newest change of the files could not be used, nil when it could.
+func (r *Reloader) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
+// Caller returns the server side for callers.
+func (r *Reloader) Caller() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return r.certificate(), nil },
+		NextProtos:     []string{"h2", "http/1.1"},
+	}
+}
+
+// PeerServer returns the server side of mutual TLS between hosts.
+func (r *Reloader) PeerServer() *tls.Config {
+	return &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		GetCertificate:   func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return r.certificate(), nil },
+		ClientAuth:       tls.RequireAnyClientCert,
+		VerifyConnection: r.verify(x509.ExtKeyUsageClientAuth),
+	}
+}
+
+// PeerClient returns the client side of mutual TLS between hosts.
+func (r *Reloader) PeerClient() *tls.Config {
+	return &tls.Config{
+		MinVersion:           tls.VersionTLS13,
+		ServerName:           PeerName,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return r.certificate(), nil },
+		// The standard check uses a fixed pool; verify does the same check with the newest one.
+		InsecureSkipVerify: true,
+		VerifyConnection:   r.verify(x509.ExtKeyUsageServerAuth),
+	}
+}
+
+// verify checks the other host's chain, name and use against the newest CA file.
+func (r *Reloader) verify(usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		if len(state.PeerCertificates) == 0 {
+			return errors.New("no certificate from the other host")
+		}
+		opts := x509.VerifyOptions{
+			Roots: r.roots(), DNSName: PeerName, KeyUsages: []x509.ExtKeyUsage{usage}, Intermediates: x509.NewCertPool(),
+		}
+		for _, c := range state.PeerCertificates[1:] {
+			opts.Intermediates.AddCert(c)
+		}
+		_, err := state.PeerCertificates[0].Verify(opts)
+		return err
+	}
+}
+
+func (r *Reloader) certificate() *tls.Certificate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh()
+	return r.cert
+}
+
+func (r *Reloader) roots() *x509.CertPool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh()
+	return r.pool
+}
+
+// refresh reads the files again when one of them changed; r.mu is held.
+func (r *Reloader) refresh() {
+	if time.Since(r.checked) < checkInterval {
+		return
+	}
+	r.checked = time.Now()
+	if stamp, err := r.modified(); err != nil || stamp != r.stamp {
+		r.failed = r.load()
+	}
+}
+
+// load replaces the certificates if all files are good.
+func (r *Reloader) load() error {
+	stamp, err := r.modified()
+	if err != nil {
+		return err
+	}
+	cert, err := tls.LoadX509KeyPair(r.cfg.CertFile, r.cfg.KeyFile)
+	if err != nil {
+		return fmt.Errorf("%s, %s: %w", r.cfg.CertFile, r.cfg.KeyFile, err)
+	}
+	var pool *x509.CertPool
+	if r.cfg.CAFile != "" {
+		pem, err := os.ReadFile(r.cfg.CAFile)
+		if err != nil {
+			return err
+		}
+		pool = x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return fmt.Errorf("%s: %w", r.cfg.CAFile, ErrNoCA)
+		}
+	}
+	r.cert, r.pool, r.stamp = &cert, pool, stamp
+	return nil
+}
+
+// modified returns the times at which the files were changed.
+func (r *Reloader) modified() ([3]time.Time, error) {
+	var out [3]time.Time
+	for i, name := range []string{r.cfg.CertFile, r.cfg.KeyFile, r.cfg.CAFile} {
+		if name == "" {
+			continue
+		}
+		info, err := os.Stat(name)
+		if err != nil {
+			return out, err
+		}
+		out[i] = info.ModTime()
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/reloader/reloader_test.go
@@ -0,0 +1,144 @@
+package reloader
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// TestPeers guards against strangers on the port between hosts, and against
+// keys that need a restart to be rotated.
+func TestPeers(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	host := ours.files(t, t.TempDir(), PeerName)
+	server, err := New(host)
+	assertNoError(t, err, "server")
+	t.Run("host of the fleet", func(t *testing.T) {
+		assertNoError(t, handshake(t, server, client(t, ours.files(t, t.TempDir(), PeerName))), "handshake")
+	})
+	t.Run("other authority", func(t *testing.T) {
+		assertError(t, handshake(t, server, client(t, theirs.files(t, t.TempDir(), PeerName))), "handshake")
+	})
+	t.Run("other name", func(t *testing.T) {
+		assertError(t, handshake(t, server, client(t, ours.files(t, t.TempDir(), "example.com"))), "handshake")
+	})
+	t.Run("no certificate", func(t *testing.T) {
+		assertError(t, handshake(t, server, &tls.Config{InsecureSkipVerify: true}), "handshake")
+	})
+	t.Run("rotated", func(t *testing.T) {
+		dir := filepath.Dir(host.CertFile)
+		theirs.files(t, dir, PeerName)
+		later := time.Now().Add(time.Hour)
+		assertNoError(t, os.Chtimes(host.CertFile, later, later), "touch")
+		server.checked = time.Time{}
+		assertNoError(t, handshake(t, server, client(t, theirs.files(t, t.TempDir(), PeerName))), "handshake")
+		assertError(t, handshake(t, server, client(t, ours.files(t, t.TempDir(), PeerName))), "old authority")
+	})
+	t.Run("bad rotation keeps the old key", func(t *testing.T) {
+		assertNoError(t, os.WriteFile(host.KeyFile, []byte("nonsense"), 0o600), "overwrite")
+		server.checked, server.stamp = time.Time{}, [3]time.Time{}
+		assertNoError(t, handshake(t, server, client(t, theirs.files(t, t.TempDir(), PeerName))), "handshake")
+		assertError(t, server.Err(), "reported error")
+	})
+}
+
+func client(t *testing.T, cfg Config) *tls.Config {
+	r, err := New(cfg)
+	assertNoError(t, err, "client")
+	return r.PeerClient()
+}
+
+// handshake connects over loopback and exchanges one byte, because a TLS 1.3
+// client learns only on the first read that its certificate is refused.
+func handshake(t *testing.T, server *Reloader, cfg *tls.Config) error {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assertNoError(t, err, "listen")
+	defer l.Close()
+	a, err := net.Dial("tcp", l.Addr().String())
+	assertNoError(t, err, "dial")
+	defer a.Close()
+	go func() {
+		b, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer b.Close()
+		conn := tls.Server(b, server.PeerServer())
+		if conn.Handshake() == nil {
+			_, _ = conn.Write([]byte{1})
+		}
+	}()
+	conn := tls.Client(a, cfg)
+	if err := conn.Handshake(); err != nil {
+		return err
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assertNoError(t, err, "key")
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	assertNoError(t, err, "authority")
+	cert, err := x509.ParseCertificate(der)
+	assertNoError(t, err, "parse")
+	return authority{cert, key}
+}
+
+// files writes a certificate for a name, its key and the authority.
+func (a authority) files(t *testing.T, dir, name string) Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assertNoError(t, err, "key")
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{name},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	assertNoError(t, err, "certificate")
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	assertNoError(t, err, "encode key")
+	cfg := Config{filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "ca.pem")}
+	for file, block := range map[string]*pem.Block{
+		cfg.CertFile: {Type: "CERTIFICATE", Bytes: der},
+		cfg.KeyFile:  {Type: "PRIVATE KEY", Bytes: keyDER},
+		cfg.CAFile:   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		assertNoError(t, os.WriteFile(file, pem.EncodeToMemory(block), 0o600), "write "+file)
+	}
+	return cfg
+}
+
+func assertNoError(t *testing.T, err error, step string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: %v", step, err)
+	}
+}
+
+func assertError(t *testing.T, err error, step string) {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("%s: no error", step)
+	}
+}
