Report all problems of a configuration file with line and field

Cause: the parser went through JSON, so an error named neither line nor field, only the first error was reported, and anchors, merge keys and duplicate fields passed unnoticed or with the YAML library's message.

Change: the parser walks the YAML syntax tree against the protobuf descriptor. Positions of all fields are kept for later checks. Line length, depth, indentation and fields per mapping are bounded before the YAML parser runs.

Conclusion: a file is refused with everything that is wrong with it.

--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -1,24 +1,145 @@
-// Package parser reads base files and overlays in YAML.
+// Package parser reads base files and overlays in YAML. It walks the syntax
+// tree against the schema, so that each error names file, line and field.
 package parser
 
 import (
+	"errors"
 	"fmt"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
-	"google.golang.org/protobuf/encoding/protojson"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	yamlparser "github.com/goccy/go-yaml/parser"
 
 	"catkindyke/pkg/schema"
 )
 
+// MaxBytes is the largest file that is read. A merged configuration has to fit
+// into a value of the store, which holds 1 MB.
+const MaxBytes = 1 << 20
+
+// Position is a line of a file.
+type Position struct {
+	File string
+	Line int
+}
+
+// String returns the position as file:line.
+func (p Position) String() string {
+	if p.File == "" {
+		return "default"
+	}
+	return fmt.Sprintf("%s:%d", p.File, p.Line)
+}
+
+// File is a parsed base file or overlay.
+type File struct {
+	name      string
+	cfg       *schema.Config
+	positions map[string]Position
+}
+
+// Name returns the name that the file was parsed with.
+func (f *File) Name() string { return f.name }
+
+// Config returns the content; fields that the file does not set are empty.
+func (f *File) Config() *schema.Config { return f.cfg }
+
+// Positions returns where the file sets each field, by path. It is read only.
+func (f *File) Positions() map[string]Position { return f.positions }
+
+// Position returns where the file sets a field. Paths name list entries, as in
+// services[dispatch].slots. The position of the nearest enclosing field that
+// the file sets is returned for a path that it does not set.
+func (f *File) Position(path string) Position {
+	return Locate(f.positions, path, Position{File: f.name, Line: 1})
+}
+
+// Locate finds the position of a path or of the nearest enclosing path.
+func Locate(positions map[string]Position, path string, fallback Position) Position {
+	for path != "" {
+		if p, ok := positions[path]; ok {
+			return p
+		}
+		path = Parent(path)
+	}
+	return fallback
+}
+
+// Parent returns the path that encloses a path.
+func Parent(path string) string {
+	if strings.HasSuffix(path, "]") {
+		return path[:strings.LastIndexByte(path, '[')]
+	}
+	// A name in brackets cannot contain a dot before its closing bracket,
+	// except in an address block, which always ends the path.
+	return path[:max(strings.LastIndexByte(path, '.'), 0)]
+}
+
 // Parse reads one file's content into a configuration. The name appears in errors.
 func Parse(name string, content []byte) (*schema.Config, error) {
-	json, err := yaml.YAMLToJSON(content)
+	f, err := ParseFile(name, content)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return nil, err
+	}
+	return f.cfg, nil
+}
+
+// ParseFile reads one file's content with its positions. The error is of type
+// Problems and holds all problems of the file.
+func ParseFile(name string, content []byte) (*File, error) {
+	w := &walker{file: &File{name: name, cfg: &schema.Config{}, positions: map[string]Position{}}}
+	w.parse(content)
+	if err := w.problems.Err(); err != nil {
+		return nil, err
+	}
+	return w.file, nil
+}
+
+func (w *walker) parse(content []byte) {
+	if len(content) > MaxBytes {
+		w.addAt(1, Problem{Text: fmt.Sprintf("the file has %d bytes", len(content)), Allowed: fmt.Sprintf("at most %d bytes", MaxBytes)})
+		return
+	}
+	if !utf8.Valid(content) {
+		w.addAt(1, Problem{Text: "the file is not UTF-8"})
+		return
 	}
-	cfg := &schema.Config{}
-	if err := protojson.Unmarshal(json, cfg); err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+	if !w.checkLines(content) {
+		return
+	}
+	tokens := lexer.Tokenize(string(content))
+	if w.checkTokens(tokens); len(w.problems) > 0 {
+		return
+	}
+	tree, err := yamlparser.Parse(tokens, 0, yamlparser.AllowDuplicateMapKey())
+	if err != nil {
+		w.syntaxError(err)
+		return
+	}
+	docs := make([]*ast.DocumentNode, 0, 1)
+	for _, d := range tree.Docs {
+		if d.Body != nil {
+			docs = append(docs, d)
+		}
+	}
+	if len(docs) != 1 {
+		w.addAt(1, Problem{Text: fmt.Sprintf("the file holds %d documents", len(docs)), Allowed: "one document"})
+		return
+	}
+	w.message("", docs[0].Body, w.file.cfg.ProtoReflect())
+}
+
+func (w *walker) syntaxError(err error) {
+	line, text := 1, err.Error()
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		text = syntax.GetMessage()
+		if tk := syntax.GetToken(); tk != nil {
+			line = tk.Position.Line
+		}
 	}
-	return cfg, nil
+	w.addAt(line, Problem{Text: "bad YAML: " + text})
 }
--- /dev/null
+++ b/pkg/parser/problem.go
@@ -0,0 +1,111 @@
+package parser
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Problem is something wrong in a file. Its text has the form
+// "FILE:LINE: PATH: got VALUE: TEXT; allowed: ALLOWED; did you mean NEAREST?".
+type Problem struct {
+	Position Position
+	// Path is the field path; it is empty for problems of the whole file.
+	Path string
+	// Value is the value seen; it is empty when a field is missing.
+	Value   string
+	Text    string
+	Allowed string
+	// Nearest is the known name nearest to the value.
+	Nearest string
+}
+
+// Error returns the problem in one line.
+func (p Problem) Error() string {
+	var b strings.Builder
+	b.WriteString(p.Position.String())
+	b.WriteString(": ")
+	if p.Path != "" {
+		b.WriteString(p.Path + ": ")
+	}
+	if p.Value != "" {
+		b.WriteString("got " + shorten(p.Value) + ": ")
+	}
+	b.WriteString(p.Text)
+	if p.Allowed != "" {
+		b.WriteString("; allowed: " + p.Allowed)
+	}
+	if p.Nearest != "" {
+		b.WriteString("; did you mean " + p.Nearest + "?")
+	}
+	return b.String()
+}
+
+// maxValue is the longest part of a value that a message shows.
+const maxValue = 80
+
+func shorten(v string) string {
+	if len(v) <= maxValue {
+		return v
+	}
+	return strings.ToValidUTF8(v[:maxValue], "") + "..."
+}
+
+// Problems is a list of problems.
+type Problems []Problem
+
+// Error returns one problem on each line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the problems in order of file and line, or nil when there are none.
+func (ps Problems) Err() error {
+	if len(ps) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(ps, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Position.File, b.Position.File),
+			cmp.Compare(a.Position.Line, b.Position.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Text, b.Text))
+	})
+	return ps
+}
+
+// Nearest returns the known name with the smallest edit distance to a name, or
+// nothing when all of them differ in more than half of the name.
+func Nearest(name string, known []string) string {
+	best, bestDistance := "", max(len(name)/2, 1)+1
+	for _, k := range known {
+		if len(name) > maxValue {
+			break
+		}
+		if d := distance(name, k); d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	return best
+}
+
+// distance is the Levenshtein distance in bytes.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost = 1 + min(diagonal, row[j], row[j+1])
+			}
+			diagonal, row[j+1] = row[j+1], cost
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/pkg/parser/rules.go
@@ -0,0 +1,153 @@
+package parser
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// Rule says what a field may hold. An explicit zero is always refused, because
+// zero means that the field is not set.
+type Rule struct {
+	// Min and Max bound a number.
+	Min, Max float64
+	// Default is used when the field is not set; zero is none.
+	Default float64
+	// Text is the default of a string field.
+	Text string
+	// Form says what a string must look like.
+	Form Form
+	// Required marks a field that must be set after merging.
+	Required bool
+}
+
+// Form is the kind of a string.
+type Form int
+
+// Forms of strings.
+const (
+	FormName Form = iota + 1
+	FormAddress
+	FormBlock
+	FormPath
+	FormMethod
+)
+
+// methods are the HTTP methods that can be declared as idempotent.
+var methods = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+
+// rules holds the rule of each field that is not a message, by message and field.
+var rules = map[string]Rule{
+	"Region.name":                     {Form: FormName, Required: true},
+	"Region.availability_zones":       {Form: FormName, Required: true},
+	"Service.name":                    {Form: FormName, Required: true},
+	"Service.slots":                   {Min: 1, Max: 10000},
+	"Service.connections":             {Min: 1, Max: 100000, Default: 100},
+	"Service.idempotent_methods":      {Form: FormMethod},
+	"Service.idempotent_routes":       {Form: FormPath},
+	"Service.open_routes":             {Form: FormPath},
+	"Service.deadline_ms":             {Min: 1, Max: 3600000, Default: 30000},
+	"Service.progress_timeout_ms":     {Min: 100, Max: 600000, Default: 10000},
+	"Service.max_body_bytes":          {Min: 1, Max: 1 << 40, Default: 64 << 20},
+	"Service.queue_length":            {Min: 1, Max: 100000, Default: 100},
+	"Service.service_time_ms":         {Min: 1, Max: 3600000, Required: true},
+	"Service.health_path":             {Form: FormPath, Text: "/healthz"},
+	"BackendServer.name":              {Form: FormName, Required: true},
+	"BackendServer.address":           {Form: FormAddress, Required: true},
+	"BackendServer.region":            {Form: FormName, Required: true},
+	"BackendServer.availability_zone": {Form: FormName, Required: true},
+	"BackendServer.slots":             {Min: 1, Max: 10000},
+	"Workspace.name":                  {Form: FormName, Required: true},
+	"Workspace.rate_per_s":            {Min: 0.001, Max: 1e6, Required: true},
+	"Workspace.burst":                 {Min: 1, Max: 1e7, Required: true},
+	"Workspace.weight":                {Min: 0.001, Max: 1000, Default: 1},
+	"Link.from":                       {Form: FormName, Required: true},
+	"Link.to":                         {Form: FormName, Required: true},
+	"Link.capacity_mbit_s":            {Min: 1, Max: 1e6, Required: true},
+	"Link.shift_cap_per_s":            {Min: 0.001, Max: 1e6, Required: true},
+	"Link.shift_step_per_mille":       {Min: 1, Max: 1000, Default: 100},
+	"Site.name":                       {Form: FormName, Required: true},
+	"Site.region":                     {Form: FormName, Required: true},
+	"Site.availability_zone":          {Form: FormName, Required: true},
+	"Site.blocks":                     {Form: FormBlock},
+	"Settings.lookup_age_ms":          {Min: 100, Max: 600000, Default: 5000},
+	"Settings.lookup_rate_per_s":      {Min: 1, Max: 1e6, Default: 100},
+	"Settings.plan_interval_ms":       {Min: 100, Max: 600000, Default: 1000},
+	"Settings.retry_budget_percent":   {Min: 1, Max: 100, Default: 10},
+	"Settings.trusted_proxies":        {Form: FormBlock},
+}
+
+// RuleOf returns the rule of a field.
+func RuleOf(fd protoreflect.FieldDescriptor) Rule {
+	return rules[string(fd.ContainingMessage().Name())+"."+string(fd.Name())]
+}
+
+// DefaultOf returns the value of a field that no file sets.
+func DefaultOf(fd protoreflect.FieldDescriptor) (protoreflect.Value, bool) {
+	rule := RuleOf(fd)
+	switch {
+	case rule.Text != "":
+		return protoreflect.ValueOfString(rule.Text), true
+	case rule.Default == 0:
+		return protoreflect.Value{}, false
+	case fd.Kind() == protoreflect.DoubleKind:
+		return protoreflect.ValueOfFloat64(rule.Default), true
+	case fd.Kind() == protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(uint64(rule.Default)), true
+	default:
+		return protoreflect.ValueOfUint32(uint32(rule.Default)), true
+	}
+}
+
+// describe says what a form allows.
+func (f Form) describe() string {
+	switch f {
+	case FormName:
+		return "1 to 63 lower-case letters, digits and inner hyphens"
+	case FormAddress:
+		return "an IP number and a port, such as 127.0.0.1:8080 or [::1]:8080"
+	case FormBlock:
+		return "a CIDR block without host bits, in its shortest form, such as 192.0.2.0/24"
+	case FormPath:
+		return "a path that starts with / and has no blank, ? or #"
+	default:
+		return strings.Join(methods, ", ")
+	}
+}
+
+// valid reports whether a string has the form.
+func (f Form) valid(s string) bool {
+	switch f {
+	case FormName:
+		return validName(s)
+	case FormAddress:
+		a, err := netip.ParseAddrPort(s)
+		return err == nil && a.Port() != 0 && a.Addr().Zone() == "" && a.String() == s
+	case FormBlock:
+		p, err := netip.ParsePrefix(s)
+		return err == nil && p == p.Masked() && p.String() == s
+	case FormPath:
+		return strings.HasPrefix(s, "/") && utf8.ValidString(s) && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '?' || r == '#' || r == 0x7f })
+	default:
+		return strings.Contains(" "+strings.Join(methods, " ")+" ", " "+s+" ") && !strings.Contains(s, " ")
+	}
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > 63 || s[0] == '-' || s[len(s)-1] == '-' {
+		return false
+	}
+	return !strings.ContainsFunc(s, func(r rune) bool {
+		return r != '-' && (r < 'a' || r > 'z') && (r < '0' || r > '9')
+	})
+}
+
+// Range returns the numbers that a rule allows.
+func (r Rule) Range() string {
+	return number(r.Min) + " to " + number(r.Max)
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
--- /dev/null
+++ b/pkg/parser/scalar.go
@@ -0,0 +1,131 @@
+package parser
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// scalar converts a value by the field's kind and checks it by the field's rule.
+func (w *walker) scalar(path string, n ast.Node, fd protoreflect.FieldDescriptor) (protoreflect.Value, bool) {
+	if fd.Kind() == protoreflect.StringKind {
+		return w.text(path, n, fd)
+	}
+	v, text := numberOf(n)
+	whole := fd.Kind() != protoreflect.DoubleKind
+	rule := RuleOf(fd)
+	switch {
+	case text != "":
+	case whole && v != math.Trunc(v):
+		text = "not a whole number"
+	case v < 0:
+		text = "the number is negative"
+	case v < rule.Min || v > rule.Max:
+		text = "the number is out of range"
+	}
+	if text != "" {
+		w.add(n, Problem{Path: path, Value: valueOf(n), Text: text, Allowed: AllowedOf(fd)})
+		return protoreflect.Value{}, false
+	}
+	switch fd.Kind() {
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(uint32(v)), true
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(uint64(v)), true
+	default:
+		return protoreflect.ValueOfFloat64(v), true
+	}
+}
+
+// numberOf returns a number, or says why the value is none. All ranges lie
+// below 2^53, so that a float64 holds each allowed whole number exactly.
+func numberOf(n ast.Node) (float64, string) {
+	switch n := n.(type) {
+	case *ast.IntegerNode:
+		switch v := n.Value.(type) {
+		case int64:
+			return float64(v), ""
+		case uint64:
+			return float64(v), ""
+		}
+	case *ast.FloatNode:
+		if math.IsInf(n.Value, 0) || math.IsNaN(n.Value) {
+			return 0, "the number is not finite"
+		}
+		return n.Value, ""
+	case *ast.InfinityNode, *ast.NanNode:
+		return 0, "the number is not finite"
+	}
+	return 0, "not a number"
+}
+
+func (w *walker) text(path string, n ast.Node, fd protoreflect.FieldDescriptor) (protoreflect.Value, bool) {
+	s, ok := stringOf(n)
+	form := RuleOf(fd).Form
+	p := Problem{Path: path, Value: valueOf(n), Allowed: AllowedOf(fd)}
+	switch {
+	case !ok:
+		p.Text = "not a string"
+	case form.valid(s):
+		return protoreflect.ValueOfString(s), true
+	case form == FormName:
+		p.Text = "bad name"
+	case form == FormAddress:
+		p.Text = "bad address"
+	case form == FormBlock:
+		p.Text = "bad address block"
+	case form == FormPath:
+		p.Text = "bad path"
+	default:
+		p.Text, p.Nearest = "unknown method", Nearest(strings.ToUpper(s), methods)
+	}
+	w.add(n, p)
+	return protoreflect.Value{}, false
+}
+
+// stringOf returns a string value. Numbers and booleans are not taken as
+// strings: they need quotes, as in YAML.
+func stringOf(n ast.Node) (string, bool) {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	}
+	return "", false
+}
+
+// valueOf shows a value in a message.
+func valueOf(n ast.Node) string {
+	switch n := n.(type) {
+	case nil:
+		return ""
+	case *ast.MappingNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode:
+		return strconv.Quote(n.Value)
+	case *ast.LiteralNode:
+		return strconv.Quote(n.Value.Value)
+	}
+	return strings.TrimSpace(n.String())
+}
+
+// AllowedOf says what a field, or each entry of a list, may hold.
+func AllowedOf(fd protoreflect.FieldDescriptor) string {
+	rule := RuleOf(fd)
+	switch {
+	case fd.Message() != nil:
+		return "fields " + strings.Join(fieldNames(fd.Message()), ", ")
+	case fd.Kind() == protoreflect.StringKind:
+		return rule.Form.describe()
+	case fd.Kind() == protoreflect.DoubleKind:
+		return "a number from " + rule.Range()
+	default:
+		return "a whole number from " + rule.Range()
+	}
+}
