Add a stable diff of two configurations

Cause: diff only said that the configuration would change, not what.

Change: pkg/differ compares list entries by name and lists fields with old and new value. Changes of a workspace's rate and removals of workspaces and backend servers are marked and come first.

--- /dev/null
+++ b/pkg/differ/differ.go
@@ -0,0 +1,214 @@
+// Package differ compares two configurations.
+package differ
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"catkindyke/pkg/parser"
+	"catkindyke/pkg/schema"
+)
+
+// Kind says what happened to a field or list entry.
+type Kind string
+
+// Kinds of changes.
+const (
+	Added   Kind = "added"
+	Removed Kind = "removed"
+	Changed Kind = "changed"
+)
+
+// Change is one difference. Old is empty for additions and New for removals.
+type Change struct {
+	Kind Kind
+	Path string
+	Old  string
+	New  string
+	// Important marks changes that callers notice: a workspace's rate, a
+	// removed workspace and a removed backend server.
+	Important bool
+}
+
+// String returns the change in one line.
+func (c Change) String() string {
+	mark := " "
+	if c.Important {
+		mark = "!"
+	}
+	switch c.Kind {
+	case Added:
+		return fmt.Sprintf("%s added   %s: %s", mark, c.Path, c.New)
+	case Removed:
+		return fmt.Sprintf("%s removed %s: %s", mark, c.Path, c.Old)
+	default:
+		return fmt.Sprintf("%s changed %s: %s -> %s", mark, c.Path, c.Old, c.New)
+	}
+}
+
+// Diff returns the changes from one configuration to another: important ones
+// first, then in order of the schema and of names. The order of list entries
+// makes no difference.
+func Diff(from, to *schema.Config) []Change {
+	var d differ
+	d.message("", from.ProtoReflect(), to.ProtoReflect())
+	slices.SortStableFunc(d.changes, func(a, b Change) int {
+		switch {
+		case a.Important == b.Important:
+			return 0
+		case a.Important:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return d.changes
+}
+
+// Summary counts the changes and names the first important ones.
+func Summary(changes []Change) string {
+	count := make(map[Kind]int)
+	var first []string
+	for _, c := range changes {
+		count[c.Kind]++
+		if len(first) < 3 {
+			first = append(first, strings.TrimSpace(strings.TrimPrefix(c.String(), "!")))
+		}
+	}
+	text := fmt.Sprintf("%d added, %d removed, %d changed", count[Added], count[Removed], count[Changed])
+	if len(first) > 0 {
+		text += ": " + strings.Join(first, "; ")
+	}
+	if len(changes) > len(first) {
+		text += "; ..."
+	}
+	return text
+}
+
+type differ struct {
+	changes []Change
+}
+
+func (d *differ) add(c Change) {
+	c.Important = important(c)
+	d.changes = append(d.changes, c)
+}
+
+func important(c Change) bool {
+	workspace := strings.HasPrefix(c.Path, "workspaces[")
+	switch {
+	case workspace:
+		return c.Kind == Removed || strings.HasSuffix(c.Path, "].rate_per_s")
+	case c.Kind != Removed:
+		return false
+	default:
+		// A removed service removes its backend servers.
+		return strings.HasPrefix(c.Path, "services[") &&
+			(strings.Contains(c.Path, "].backend_servers[") || strings.HasSuffix(c.Path, "]") && !strings.Contains(c.Path, "]."))
+	}
+}
+
+func (d *differ) message(path string, from, to protoreflect.Message) {
+	fields := from.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		at := strings.TrimPrefix(path+"."+string(fd.Name()), ".")
+		a, b := from.Get(fd), to.Get(fd)
+		switch {
+		case fd.IsList():
+			d.list(at, a.List(), b.List(), fd)
+		case fd.Message() != nil:
+			d.message(at, a.Message(), b.Message())
+		case !a.Equal(b):
+			d.add(scalarChange(at, fd, a, b, from.Has(fd), to.Has(fd)))
+		}
+	}
+}
+
+func scalarChange(path string, fd protoreflect.FieldDescriptor, a, b protoreflect.Value, had, has bool) Change {
+	switch {
+	case !had:
+		return Change{Kind: Added, Path: path, New: format(fd, b)}
+	case !has:
+		return Change{Kind: Removed, Path: path, Old: format(fd, a)}
+	default:
+		return Change{Kind: Changed, Path: path, Old: format(fd, a), New: format(fd, b)}
+	}
+}
+
+// list compares entries with the same name, in order of names.
+func (d *differ) list(path string, from, to protoreflect.List, fd protoreflect.FieldDescriptor) {
+	before, after := entries(from, fd), entries(to, fd)
+	names := make([]string, 0, len(before)+len(after))
+	for name := range before {
+		names = append(names, name)
+	}
+	for name := range after {
+		if _, ok := before[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		a, had := before[name]
+		b, has := after[name]
+		at := path + "[" + name + "]"
+		switch {
+		case !had:
+			d.add(Change{Kind: Added, Path: at, New: format(fd, b)})
+		case !has:
+			d.add(Change{Kind: Removed, Path: at, Old: format(fd, a)})
+		case fd.Message() != nil:
+			d.message(at, a.Message(), b.Message())
+		}
+	}
+}
+
+func entries(list protoreflect.List, fd protoreflect.FieldDescriptor) map[string]protoreflect.Value {
+	out := make(map[string]protoreflect.Value, list.Len())
+	for i := range list.Len() {
+		out[parser.Key(fd, list.Get(i))] = list.Get(i)
+	}
+	return out
+}
+
+// format shows a value in one line. A nested list of messages is shown by its
+// length.
+func format(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	switch fd.Kind() {
+	case protoreflect.MessageKind:
+		return formatMessage(v.Message())
+	case protoreflect.StringKind:
+		return strconv.Quote(v.String())
+	case protoreflect.DoubleKind:
+		return strconv.FormatFloat(v.Float(), 'f', -1, 64)
+	default:
+		return fmt.Sprint(v.Interface())
+	}
+}
+
+func formatMessage(msg protoreflect.Message) string {
+	var parts []string
+	fields := msg.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		switch {
+		case !msg.Has(fd) || fd.Name() == "name":
+		case fd.IsList() && fd.Message() != nil:
+			parts = append(parts, fmt.Sprintf("%s: %d entries", fd.Name(), msg.Get(fd).List().Len()))
+		case fd.IsList():
+			var values []string
+			for j := range msg.Get(fd).List().Len() {
+				values = append(values, format(fd, msg.Get(fd).List().Get(j)))
+			}
+			parts = append(parts, fmt.Sprintf("%s: [%s]", fd.Name(), strings.Join(values, ", ")))
+		default:
+			parts = append(parts, fmt.Sprintf("%s: %s", fd.Name(), format(fd, msg.Get(fd))))
+		}
+	}
+	return "{" + strings.Join(parts, ", ") + "}"
+}
