Show the document versions of each host in the status answer

Cause: an operator could not see which hosts have a version in force.

Change: the versions that heartbeats carry are kept in snapshotter.Host, and the status answer shows them for each host, the host itself included.

Conclusion: one question to any host shows where a version is in force.

--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -180,7 +180,9 @@
 func (c *Controller) publish() {
 	now := c.cfg.Clock.Now()
 	members := c.members.Members()
+	c.input.Versions = c.docs.Versions()
 	self := c.input.Self
+	self.Versions = c.input.Versions
 	hosts := []snapshotter.Host{self}
 	for _, m := range members {
 		if m.Live(now) {
@@ -188,7 +190,6 @@
 		}
 	}
 	c.input.Hosts = hosts
-	c.input.Versions = c.docs.Versions()
 	c.input.Ready = c.startup.Ready(c.input.Versions, now)
 	if c.input.Ready && c.state == schema.HostState_HOST_STATE_STARTING {
 		c.state = schema.HostState_HOST_STATE_LIVE
@@ -204,7 +205,7 @@
 	return snapshotter.Host{
 		Name: info.GetName(), Incarnation: info.GetIncarnation(), Region: info.GetRegion(),
 		AvailabilityZone: info.GetAvailabilityZone(), Address: info.GetAddress(),
-		PeerAddress: info.GetPeerAddress(), Pools: info.GetPools(),
+		PeerAddress: info.GetPeerAddress(), Pools: info.GetPools(), Versions: info.GetVersions(),
 		Leaving: info.GetState() == schema.HostState_HOST_STATE_LEAVING,
 	}
 }
--- /dev/null
+++ b/pkg/runner/versions_test.go
@@ -0,0 +1,24 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"catkindyke/pkg/replicator"
+)
+
+// TestHostsReportVersions guards against an apply that cannot see which hosts
+// have a version in force.
+func TestHostsReportVersions(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.waitFor("versions of all hosts at each host", 10*time.Second, func() bool {
+			reports := 0
+			for _, h := range fl.hosts {
+				for _, other := range h.Snapshot().Hosts() {
+					reports += int(min(1, other.Versions[replicator.Config]))
+				}
+			}
+			return reports == len(fl.hosts)*len(fl.hosts)
+		})
+	})
+}
--- a/pkg/snapshotter/snapshotter.go
+++ b/pkg/snapshotter/snapshotter.go
@@ -22,6 +22,8 @@
 	PeerAddress      string
 	Leaving          bool
 	Pools            []*schema.PoolLoad
+	// Versions are the versions of the documents in force on the host, by kind.
+	Versions map[string]uint64
 }
 
 // Input is what a snapshot is built from.
--- a/service/apiserver/types.go
+++ b/service/apiserver/types.go
@@ -35,6 +35,8 @@
 	AvailabilityZone string `json:"availability_zone"`
 	Address          string `json:"address"`
 	Leaving          bool   `json:"leaving"`
+	// Versions are the versions of the documents in force on the host, by kind.
+	Versions map[string]uint64 `json:"versions"`
 }
 
 // Error is the body of an error answer.
