Merge overlays by name, cross-check the result and confirm an apply

Cause: overlays were appended in order, so a repeated entry was doubled, any overlay could change anything, nothing checked the result, and apply ended without knowing whether hosts had the version.

Change: an overlay may only touch its own site and the backend servers and links of its region; two overlays that disagree are an error that names both places.

--- a/cmd/catkindyke/commander/config.go
+++ b/cmd/catkindyke/commander/config.go
@@ -1,16 +1,17 @@
 package commander
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"catkindyke/pkg/checker"
+	"catkindyke/pkg/differ"
 	"catkindyke/pkg/merger"
 	"catkindyke/pkg/parser"
 	"catkindyke/pkg/publisher"
@@ -21,17 +22,18 @@
 
 func (c *Commander) checkCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("check", flag.ContinueOnError)
-	show := fs.Bool("print", false, "print the merged configuration")
+	show := fs.Bool("print", false, "print the merged configuration as YAML, with the origin of each field that is not from the base")
 	return c.command(ffcli.Command{
 		Name: "check", ShortUsage: "catkindyke check [flags] BASE [OVERLAY...]",
 		ShortHelp: "Checks a base file and overlays without a store.", FlagSet: fs,
+		LongHelp: "Warnings and errors are printed to the standard error output. docs/configuration.md lists all fields and checks.",
 		Exec: func(_ context.Context, args []string) error {
-			cfg, err := loadConfig(args)
+			merged, err := c.loadConfig(args)
 			if err != nil {
 				return err
 			}
 			if *show {
-				fmt.Fprintln(c.stdout, protojson.MarshalOptions{Multiline: true, UseProtoNames: true}.Format(cfg))
+				fmt.Fprint(c.stdout, merged.YAML())
 			}
 			return nil
 		},
@@ -43,58 +45,32 @@
 	store := storeFlag(fs)
 	return c.command(ffcli.Command{
 		Name: "diff", ShortUsage: "catkindyke diff [flags] BASE [OVERLAY...]",
-		ShortHelp: "Shows whether an apply would change the configuration in force.", FlagSet: fs,
+		ShortHelp: "Shows what an apply would change in the configuration in force.", FlagSet: fs,
+		LongHelp: "Changes of a workspace's rate and removals of workspaces and backend servers are marked with ! and listed first.",
 		Exec: func(ctx context.Context, args []string) error {
-			cfg, err := loadConfig(args)
+			merged, err := c.loadConfig(args)
 			if err != nil {
 				return err
 			}
-			head, content, err := publisher.New(newStore(*store)).Read(ctx, replicator.Config)
+			head, current, err := readConfig(ctx, publisher.New(newStore(*store)))
 			if err != nil {
 				return err
 			}
-			value, err := encodeConfig(cfg)
-			if err != nil {
-				return err
-			}
-			if bytes.Equal(value, content) {
-				fmt.Fprintf(c.stdout, "no change against version %d\n", head.GetVersion())
-				return nil
-			}
-			fmt.Fprintf(c.stdout, "version %d would change\n", head.GetVersion())
+			c.printChanges(head.GetVersion(), differ.Diff(current, merged.Config()))
 			return nil
 		},
 	})
 }
 
-func (c *Commander) applyCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
-	store := storeFlag(fs)
-	return c.command(ffcli.Command{
-		Name: "apply", ShortUsage: "catkindyke apply [flags] BASE [OVERLAY...]",
-		ShortHelp: "Puts a base file and overlays in force.", FlagSet: fs,
-		Exec: func(ctx context.Context, args []string) error {
-			cfg, err := loadConfig(args)
-			if err != nil {
-				return err
-			}
-			value, err := encodeConfig(cfg)
-			if err != nil {
-				return err
-			}
-			p := publisher.New(newStore(*store))
-			head, _, err := p.Read(ctx, replicator.Config)
-			if err != nil {
-				return err
-			}
-			written, err := p.Write(ctx, replicator.Config, value, head.GetVersion(), "apply "+fmt.Sprint(args))
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(c.stdout, "version %d accepted\n", written.GetVersion())
-			return nil
-		},
-	})
+func (c *Commander) printChanges(version uint64, changes []differ.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintf(c.stdout, "no change against version %d\n", version)
+		return
+	}
+	fmt.Fprintf(c.stdout, "%d changes against version %d\n", len(changes), version)
+	for _, change := range changes {
+		fmt.Fprintln(c.stdout, change)
+	}
 }
 
 // storeFlag adds the flag for the address of the object API.
@@ -110,22 +86,63 @@
 	return proto.MarshalOptions{Deterministic: true}.Marshal(cfg)
 }
 
-// loadConfig reads and merges a base file and its overlays.
-func loadConfig(files []string) (*schema.Config, error) {
-	if len(files) == 0 {
+// readConfig reads the configuration in the store.
+func readConfig(ctx context.Context, p *publisher.Publisher) (*schema.Head, *schema.Config, error) {
+	head, content, err := p.Read(ctx, replicator.Config)
+	if err != nil {
+		return nil, nil, err
+	}
+	cfg := &schema.Config{}
+	if err := proto.Unmarshal(content, cfg); err != nil {
+		return nil, nil, fmt.Errorf("%w: config version %d: %v", replicator.ErrCorrupt, head.GetVersion(), err)
+	}
+	return head, cfg, nil
+}
+
+// errConfig says that files were read but hold faults.
+var errConfig = errors.New("the configuration has errors")
+
+// loadConfig reads, merges and checks a base file and its overlays. All
+// problems of all files are reported together.
+func (c *Commander) loadConfig(names []string) (*merger.Merged, error) {
+	if len(names) == 0 {
 		return nil, usageError("a base file is missing")
 	}
-	var parsed []*schema.Config
-	for _, name := range files {
+	files, err := parseFiles(names)
+	if err != nil {
+		return nil, err
+	}
+	merged, err := merger.Merge(files[0], files[1:]...)
+	if err != nil {
+		return nil, fmt.Errorf("%w\n%w", errConfig, err)
+	}
+	findings := checker.Check(checker.Config{Config: merged.Config(), Position: merged.Position})
+	for _, f := range findings {
+		fmt.Fprintln(c.stderr, f)
+	}
+	if checker.Failed(findings) {
+		return nil, errConfig
+	}
+	return merged, nil
+}
+
+func parseFiles(names []string) ([]*parser.File, error) {
+	var files []*parser.File
+	var problems parser.Problems
+	for _, name := range names {
 		content, err := os.ReadFile(name)
 		if err != nil {
 			return nil, err
 		}
-		cfg, err := parser.Parse(name, content)
-		if err != nil {
-			return nil, err
+		f, err := parser.ParseFile(name, content)
+		var found parser.Problems
+		if errors.As(err, &found) {
+			problems = append(problems, found...)
 		}
-		parsed = append(parsed, cfg)
+		files = append(files, f)
+	}
+	if len(problems) > 0 {
+		return nil, fmt.Errorf("%w\n%w", errConfig, problems)
 	}
-	return merger.Merge(parsed[0], parsed[1:]...)
+	return files, nil
 }
--- /dev/null
+++ b/cmd/catkindyke/commander/config_test.go
@@ -0,0 +1,159 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+	"catkindyke/service/apiserver"
+)
+
+const testBase = `regions: [{name: fyn, availability_zones: [fyn-a]}]
+services:
+  - name: dispatch
+    slots: 10
+    service_time_ms: 100
+    backend_servers: [{name: d-1, address: "127.0.0.1:80", region: fyn, availability_zone: fyn-a}]
+workspaces: [{name: lakes, rate_per_s: 90, burst: 120}]
+`
+
+func writeFile(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	assertNoError(t, os.WriteFile(path, []byte(content), 0o600), "write "+name)
+	return path
+}
+
+// assertRun runs a command and checks its exit status and outputs.
+func assertRun(t *testing.T, want int, contains string, args ...string) {
+	t.Helper()
+	var out bytes.Buffer
+	if got := New(&out, &out).Run(t.Context(), args); got != want || !strings.Contains(out.String(), contains) {
+		t.Errorf("%v: exit status %d, want %d and %q; printed\n%s", args, got, want, contains, &out)
+	}
+}
+
+// TestCheckCommand guards against faults that pass, and problems of one file
+// that hide those of another.
+func TestCheckCommand(t *testing.T) {
+	base := writeFile(t, "base.yaml", testBase)
+	assertRun(t, exitOK, "    slots: 10\n    connections: 100 # default\n", "check", "-print", base)
+	assertRun(t, exitFailure, "no such file", "check", base+"x")
+	one, two := writeFile(t, "one.yaml", "x: 1"), writeFile(t, "two.yaml", "y: 1")
+	assertRun(t, exitFailure, "one.yaml:1: x: unknown field", "check", one, two)
+	assertRun(t, exitFailure, "two.yaml:1: y: unknown field", "check", one, two)
+	assertRun(t, exitFailure, "[burst_too_small]", "check", writeFile(t, "b.yaml", strings.Replace(testBase, "burst: 120", "burst: 1", 1)))
+	assertRun(t, exitUsage, "-expect-version must be", "apply", "-expect-version", "-2", base)
+}
+
+// TestApplyCommand guards against an apply over a version that was not read,
+// and against needless versions.
+func TestApplyCommand(t *testing.T) {
+	server := httptest.NewServer(emulator.NewPlatform(emulator.Budget{}))
+	defer server.Close()
+	base := writeFile(t, "base.yaml", testBase)
+	slower := writeFile(t, "slower.yaml", strings.Replace(testBase, "rate_per_s: 90", "rate_per_s: 80", 1))
+	apply := func(args ...string) []string {
+		return append([]string{"apply", "-wait", "0", "-store", server.URL}, args...)
+	}
+	assertRun(t, exitFailure, "version 3 was expected, version 0 is in force", apply("-expect-version", "3", base)...)
+	assertRun(t, exitOK, "version 1 accepted", apply("-expect-version", "0", base)...)
+	assertRun(t, exitOK, "no change against version 1", apply(base)...)
+	assertRun(t, exitOK, "no change against version 1", "diff", "-store", server.URL, base)
+	change := "! changed workspaces[lakes].rate_per_s: 90 -> 80"
+	assertRun(t, exitOK, "1 changes against version 1\n"+change, "diff", "-store", server.URL, slower)
+	assertRun(t, exitOK, change, apply("-expect-version", "1", slower)...)
+	assertRun(t, exitFailure, "version 1 was expected, version 2 is in force: 0 added, 0 removed, 1 changed: changed workspaces[lakes].rate_per_s: 90 -> 80", apply("-expect-version", "1", base)...)
+	assertRun(t, exitFailure, "not in force on all hosts", "apply", "-wait", "1ns", "-operator", "127.0.0.1:0", "-store", server.URL, slower)
+}
+
+// TestApplyConflict guards against a conflict that does not say what the other
+// operator changed between the read and the write.
+func TestApplyConflict(t *testing.T) {
+	platform := emulator.NewPlatform(emulator.Budget{})
+	direct := httptest.NewServer(platform)
+	defer direct.Close()
+	raced := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, replicator.HeadName(replicator.Config)) && !raced {
+			raced = true
+			value, _ := encodeConfig(&schema.Config{Workspaces: []*schema.Workspace{{Name: "mills", RatePerS: 5}}})
+			if _, err := publisher.New(newStore(direct.URL)).Write(r.Context(), replicator.Config, value, 0, "other"); err != nil {
+				t.Error(err)
+			}
+		}
+		platform.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	_, err := New(io.Discard, io.Discard).writeConfig(t.Context(), publisher.New(newStore(server.URL)), &schema.Config{}, anyVersion)
+	const want = "version 1 changed since it was read:\n  added   workspaces[mills]: {rate_per_s: 5}"
+	if !errors.Is(err, publisher.ErrConflict) || !strings.Contains(err.Error(), want) {
+		t.Errorf("got %v, want a conflict with %q", err, want)
+	}
+}
+
+// TestConfirmation guards against an apply that reports success before all live
+// hosts have the version, or that waits longer than allowed.
+func TestConfirmation(t *testing.T) {
+	type answer = map[string]uint64
+	for _, c := range []struct {
+		name   string
+		listed string
+		after  time.Duration
+		late   answer
+		err    error
+		want   string
+		took   time.Duration
+	}{
+		{"in_force", "a", 600 * time.Millisecond, answer{"a": 2, "b": 3}, nil, "a: version 2 is in force\nb: version 3 is in force\n", 750 * time.Millisecond},
+		{"one_behind", "a", 0, answer{"a": 2, "b": 1}, errNotInForce, "a: version 2 is in force\nb: version 2 is not in force, it has version 1\n", 14 * time.Second},
+		{"too_late", "a", 15 * time.Second, answer{"a": 2}, errNotInForce, "a: version 2 is not in force, it has version 1\n", 14 * time.Second},
+		{"not_heard", "z", 0, answer{"a": 2}, errNotInForce, "a: version 2 is in force\nz: not heard by the asked host\n", 14 * time.Second},
+		{"no_answer", "a", 0, nil, errNotInForce, "", 14 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				var out bytes.Buffer
+				err := confirmation{
+					version: 2, wait: defaultApplyWait, out: &out,
+					platform: func(context.Context) ([]storeclient.Host, error) {
+						return []storeclient.Host{{Name: c.listed, State: storeclient.HostLive}, {Name: "y", State: storeclient.HostLeaving}}, nil
+					},
+					status: func(context.Context) (st apiserver.Status, err error) {
+						if c.late == nil {
+							return st, errors.New("refused")
+						}
+						for _, name := range slices.Sorted(maps.Keys(c.late)) {
+							v := c.late[name]
+							if time.Since(start) < c.after {
+								v = 1
+							}
+							st.Hosts = append(st.Hosts, apiserver.StatusHost{Name: name, Versions: answer{replicator.Config: v}})
+						}
+						return st, nil
+					},
+				}.run(t.Context())
+				if !errors.Is(err, c.err) || out.String() != c.want || time.Since(start) != c.took {
+					t.Errorf("after %s: %v\n%s", time.Since(start), err, out.String())
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/checker/checker.go
@@ -0,0 +1,202 @@
+// Package checker looks for faults in a merged configuration that no single
+// file shows. Errors refuse the configuration, warnings do not.
+package checker
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"catkindyke/pkg/parser"
+	"catkindyke/pkg/schema"
+)
+
+// Severity says whether a finding refuses the configuration.
+type Severity string
+
+// Severities.
+const (
+	Error   Severity = "error"
+	Warning Severity = "warning"
+)
+
+// Code is the kind of a finding.
+type Code string
+
+// Codes of findings.
+const (
+	Missing     Code = "missing"
+	Unknown     Code = "unknown_reference"
+	Duplicate   Code = "duplicate"
+	Reserved    Code = "reserved_name"
+	BadRoute    Code = "bad_route"
+	Burst       Code = "burst_too_small"
+	Rate        Code = "rate_over_capacity"
+	Connections Code = "connections_under_slots"
+	NoServers   Code = "no_servers"
+	NoLink      Code = "no_link"
+	SelfLink    Code = "link_to_itself"
+	ShiftCap    Code = "shift_cap_too_small"
+	Headroom    Code = "no_failover_capacity"
+	TooLarge    Code = "too_large"
+)
+
+// Finding is a fault with its position.
+type Finding struct {
+	Severity Severity
+	Code     Code
+	parser.Problem
+}
+
+// Error returns the finding in one line.
+func (f Finding) Error() string {
+	return fmt.Sprintf("%s: %s [%s]", f.Severity, f.Problem.Error(), f.Code)
+}
+
+// Config configures a check.
+type Config struct {
+	// Config is the merged configuration.
+	Config *schema.Config
+	// Position returns where a field was set.
+	Position func(path string) parser.Position
+}
+
+// checker collects findings.
+type checker struct {
+	Config
+	cfg      *schema.Config
+	findings []Finding
+}
+
+// Check returns all findings, errors first, then in order of position.
+func Check(cfg Config) []Finding {
+	c := &checker{Config: cfg, cfg: cfg.Config}
+	c.size()
+	c.required("", c.cfg.ProtoReflect())
+	c.regions()
+	c.services()
+	c.sites()
+	c.workspaces()
+	c.links()
+	c.failovers()
+	slices.SortStableFunc(c.findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.Position.File, b.Position.File),
+			cmp.Compare(a.Position.Line, b.Position.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Text, b.Text))
+	})
+	return c.findings
+}
+
+// Failed reports whether a finding is an error.
+func Failed(findings []Finding) bool {
+	return slices.ContainsFunc(findings, func(f Finding) bool { return f.Severity == Error })
+}
+
+func (c *checker) add(severity Severity, code Code, p parser.Problem) {
+	p.Position = c.Position(p.Path)
+	c.findings = append(c.findings, Finding{Severity: severity, Code: code, Problem: p})
+}
+
+// maxSize is the largest value that the store holds, in bytes.
+const maxSize = 1 << 20
+
+// size finds a configuration that the store would refuse.
+func (c *checker) size() {
+	if n := proto.Size(c.cfg); n > maxSize {
+		c.add(Error, TooLarge, parser.Problem{
+			Text: fmt.Sprintf("the merged configuration has %d bytes", n), Allowed: fmt.Sprintf("at most %d bytes", maxSize),
+		})
+	}
+}
+
+// required finds fields without a value that have no default.
+func (c *checker) required(path string, msg protoreflect.Message) {
+	fields := msg.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		at := strings.TrimPrefix(path+"."+string(fd.Name()), ".")
+		switch {
+		case parser.RuleOf(fd).Required && !msg.Has(fd):
+			c.add(Error, Missing, parser.Problem{Path: at, Text: "the field is missing", Allowed: parser.AllowedOf(fd)})
+		case fd.IsList() && fd.Message() != nil:
+			list := msg.Get(fd).List()
+			for j := range list.Len() {
+				c.required(at+"["+parser.Key(fd, list.Get(j))+"]", list.Get(j).Message())
+			}
+		case !fd.IsList() && fd.Message() != nil:
+			c.required(at, msg.Get(fd).Message())
+		}
+	}
+}
+
+// reference finds a name that is not known. A missing name is found elsewhere.
+func (c *checker) reference(path, what, name string, known []string) bool {
+	if name == "" || slices.Contains(known, name) {
+		return name != ""
+	}
+	c.add(Error, Unknown, parser.Problem{
+		Path: path, Value: name, Text: "unknown " + what, Allowed: strings.Join(known, ", "), Nearest: parser.Nearest(name, known),
+	})
+	return false
+}
+
+// unique finds a value that another path uses already.
+func (c *checker) unique(seen map[string]string, path, value, what string) {
+	if first, ok := seen[value]; ok {
+		c.add(Error, Duplicate, parser.Problem{
+			Path: path, Value: value, Text: fmt.Sprintf("the %s is already used by %s at %s", what, first, c.Position(first)),
+		})
+		return
+	}
+	seen[value] = path
+}
+
+func (c *checker) regionNames() []string {
+	names := make([]string, 0, len(c.cfg.GetRegions()))
+	for _, r := range c.cfg.GetRegions() {
+		names = append(names, r.GetName())
+	}
+	return names
+}
+
+func (c *checker) zoneNames(region string) []string {
+	for _, r := range c.cfg.GetRegions() {
+		if r.GetName() == region {
+			return r.GetAvailabilityZones()
+		}
+	}
+	return nil
+}
+
+// place checks the region and availability zone of a server or site.
+func (c *checker) place(path, region, zone string) {
+	if c.reference(path+".region", "region", region, c.regionNames()) {
+		c.reference(path+".availability_zone", "availability zone of region "+region, zone, c.zoneNames(region))
+	}
+}
+
+func (c *checker) regions() {
+	if len(c.cfg.GetRegions()) == 0 {
+		c.add(Error, Missing, parser.Problem{Path: "regions", Text: "there is no region", Allowed: "at least one region"})
+	}
+	zones := make(map[string]string)
+	for _, r := range c.cfg.GetRegions() {
+		for _, z := range r.GetAvailabilityZones() {
+			c.unique(zones, "regions["+r.GetName()+"].availability_zones["+z+"]", z, "availability zone")
+		}
+	}
+}
+
+func (c *checker) sites() {
+	blocks := make(map[string]string)
+	for _, s := range c.cfg.GetSites() {
+		path := "sites[" + s.GetName() + "]"
+		c.place(path, s.GetRegion(), s.GetAvailabilityZone())
+		for _, b := range s.GetBlocks() {
+			c.unique(blocks, path+".blocks["+b+"]", b, "block")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/checker/services.go
@@ -0,0 +1,101 @@
+package checker
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"catkindyke/pkg/parser"
+	"catkindyke/pkg/schema"
+)
+
+// reservedServices are first path segments that hosts answer themselves.
+var reservedServices = []string{"v1"}
+
+func (c *checker) services() {
+	if len(c.cfg.GetServices()) == 0 {
+		c.add(Error, Missing, parser.Problem{Path: "services", Text: "there is no service", Allowed: "at least one service"})
+	}
+	names, addresses := make(map[string]string), make(map[string]string)
+	for _, s := range c.cfg.GetServices() {
+		path := "services[" + s.GetName() + "]"
+		if slices.Contains(reservedServices, s.GetName()) {
+			c.add(Error, Reserved, parser.Problem{Path: path, Value: s.GetName(), Text: "hosts answer this path segment themselves"})
+		}
+		c.routes(path+".open_routes", s.GetName(), s.GetOpenRoutes())
+		c.routes(path+".idempotent_routes", s.GetName(), s.GetIdempotentRoutes())
+		for _, b := range s.GetBackendServers() {
+			at := path + ".backend_servers[" + b.GetName() + "]"
+			// Drains name backend servers without their service.
+			c.unique(names, at, b.GetName(), "name")
+			if b.GetAddress() != "" {
+				c.unique(addresses, at+".address", b.GetAddress(), "address")
+			}
+			c.place(at, b.GetRegion(), b.GetAvailabilityZone())
+			c.slots(at, s, b)
+		}
+		c.served(path, s)
+	}
+}
+
+// slots finds a server without slots or with fewer connections than slots.
+func (c *checker) slots(path string, s *schema.Service, b *schema.BackendServer) {
+	n := slotsOf(s, b)
+	if n == 0 {
+		c.add(Error, Missing, parser.Problem{
+			Path: path + ".slots", Text: "neither the backend server nor its service has slots", Allowed: "a whole number from 1 to 10000",
+		})
+	}
+	if limit := s.GetConnections(); limit > 0 && n > limit {
+		c.add(Error, Connections, parser.Problem{
+			Path: path + ".slots", Value: fmt.Sprint(n),
+			Text: fmt.Sprintf("the service allows only %d connections to each backend server", limit), Allowed: fmt.Sprintf("1 to %d", limit),
+		})
+	}
+}
+
+func slotsOf(s *schema.Service, b *schema.BackendServer) uint32 {
+	if b.GetSlots() > 0 {
+		return b.GetSlots()
+	}
+	return s.GetSlots()
+}
+
+// routes finds routes that no request of the service can match.
+func (c *checker) routes(path, service string, routes []string) {
+	for _, r := range routes {
+		if r != "/"+service && !strings.HasPrefix(r, "/"+service+"/") {
+			c.add(Error, BadRoute, parser.Problem{
+				Path: path + "[" + r + "]", Value: r, Text: "the route matches no request of the service", Allowed: "paths under /" + service,
+			})
+		}
+	}
+}
+
+// served finds services without servers, anywhere or in a region.
+func (c *checker) served(path string, s *schema.Service) {
+	if len(s.GetBackendServers()) == 0 {
+		c.add(Error, NoServers, parser.Problem{Path: path, Text: "the service has no backend servers", Allowed: "at least one"})
+		return
+	}
+	for _, region := range c.regionNames() {
+		if !slices.ContainsFunc(s.GetBackendServers(), func(b *schema.BackendServer) bool { return b.GetRegion() == region }) {
+			c.add(Warning, NoServers, parser.Problem{Path: path, Text: "the service has no backend servers in region " + region})
+		}
+	}
+}
+
+// capacity returns the requests a second that a service's slots in a region
+// run; an empty region stands for all regions.
+func capacity(s *schema.Service, region string) float64 {
+	if s.GetServiceTimeMs() == 0 {
+		return 0
+	}
+	var slots float64
+	for _, b := range s.GetBackendServers() {
+		if region == "" || b.GetRegion() == region {
+			slots += float64(slotsOf(s, b))
+		}
+	}
+	return slots * 1000 / float64(s.GetServiceTimeMs())
+}
--- a/pkg/merger/merger.go
+++ b/pkg/merger/merger.go
@@ -1,17 +1,179 @@
-// Package merger combines a base configuration with the overlays of sites.
+// Package merger combines a base file with the overlays of sites. The result
+// does not depend on the order of the overlays.
 package merger
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"catkindyke/pkg/parser"
 	"catkindyke/pkg/schema"
 )
 
-// Merge adds each overlay to the base in order.
-func Merge(base *schema.Config, overlays ...*schema.Config) (*schema.Config, error) {
-	out := proto.Clone(base).(*schema.Config)
+// Merged is a configuration that knows where each field comes from.
+type Merged struct {
+	cfg       *schema.Config
+	base      string
+	positions map[string]parser.Position
+	// overridden holds what the base sets where an overlay sets another value.
+	overridden map[string]origin
+	// overlaid holds what overlays set, to find two that disagree.
+	overlaid map[string]origin
+	problems parser.Problems
+}
+
+// origin is a value and where it was set.
+type origin struct {
+	position parser.Position
+	value    protoreflect.Value
+}
+
+// Config returns the merged configuration with all defaults filled in.
+func (m *Merged) Config() *schema.Config { return m.cfg }
+
+// Position returns where a field was set, or where the nearest enclosing field was.
+func (m *Merged) Position(path string) parser.Position {
+	return parser.Locate(m.positions, path, parser.Position{File: m.base, Line: 1})
+}
+
+// Merge adds overlays to a base file and fills in defaults. The error is of
+// type parser.Problems.
+func Merge(base *parser.File, overlays ...*parser.File) (*Merged, error) {
+	m := &Merged{
+		cfg: proto.Clone(base.Config()).(*schema.Config), base: base.Name(),
+		positions:  maps.Clone(base.Positions()),
+		overridden: make(map[string]origin), overlaid: make(map[string]origin),
+	}
+	overlays = slices.Clone(overlays)
+	slices.SortStableFunc(overlays, func(a, b *parser.File) int {
+		return cmp.Or(cmp.Compare(siteOf(a).GetName(), siteOf(b).GetName()), cmp.Compare(a.Name(), b.Name()))
+	})
+	m.checkOverlays(base, overlays)
+	if err := m.problems.Err(); err != nil {
+		return nil, err
+	}
 	for _, o := range overlays {
-		proto.Merge(out, o)
+		m.combine("", m.cfg.ProtoReflect(), o.Config().ProtoReflect(), o)
+	}
+	if err := m.problems.Err(); err != nil {
+		return nil, err
+	}
+	if m.cfg.Settings == nil {
+		m.cfg.Settings = &schema.Settings{}
+	}
+	m.fillDefaults("", m.cfg.ProtoReflect())
+	return m, nil
+}
+
+// combine adds the fields that an overlay sets to a message.
+func (m *Merged) combine(path string, dst, src protoreflect.Message, o *parser.File) {
+	fields := src.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		if !src.Has(fd) {
+			continue
+		}
+		at := joinPath(path, fd)
+		switch {
+		case fd.IsList():
+			m.combineList(at, dst.Mutable(fd).List(), src.Get(fd).List(), fd, o)
+		case fd.Message() != nil:
+			m.combine(at, dst.Mutable(fd).Message(), src.Get(fd).Message(), o)
+		default:
+			m.combineScalar(at, dst, src.Get(fd), fd, o)
+		}
+	}
+}
+
+func joinPath(path string, fd protoreflect.FieldDescriptor) string {
+	if path == "" {
+		return string(fd.Name())
+	}
+	return path + "." + string(fd.Name())
+}
+
+func (m *Merged) combineScalar(path string, dst protoreflect.Message, v protoreflect.Value, fd protoreflect.FieldDescriptor, o *parser.File) {
+	now := origin{position: o.Position(path), value: v}
+	if earlier, ok := m.overlaid[path]; ok {
+		if !earlier.value.Equal(v) {
+			m.problems = append(m.problems, parser.Problem{
+				Position: now.position, Path: path, Value: format(fd, v),
+				Text: fmt.Sprintf("another overlay sets %s at %s", format(fd, earlier.value), earlier.position),
+			})
+		}
+		return
+	}
+	if dst.Has(fd) && dst.Get(fd).Equal(v) {
+		// An overlay may repeat the base's value, as each does for names. It
+		// still disagrees with an overlay that sets another value.
+		if !isKey(fd) {
+			m.overlaid[path] = now
+		}
+		return
+	}
+	if dst.Has(fd) {
+		m.overridden[path] = origin{position: m.positions[path], value: dst.Get(fd)}
+	}
+	dst.Set(fd, v)
+	m.positions[path], m.overlaid[path] = now.position, now
+}
+
+func isKey(fd protoreflect.FieldDescriptor) bool {
+	return slices.Contains(parser.KeyFields(fd.ContainingMessage()), fd.Name())
+}
+
+// combineList adds the entries of an overlay's list that the list does not hold
+// yet, and merges those that it holds.
+func (m *Merged) combineList(path string, dst, src protoreflect.List, fd protoreflect.FieldDescriptor, o *parser.File) {
+	held := make(map[string]int)
+	for i := range dst.Len() {
+		held[parser.Key(fd, dst.Get(i))] = i
+	}
+	for i := range src.Len() {
+		v := src.Get(i)
+		key := parser.Key(fd, v)
+		at := path + "[" + key + "]"
+		index, ok := held[key]
+		if !ok {
+			m.positions[at] = o.Position(at)
+			index, held[key] = dst.Len(), dst.Len()
+			if fd.Message() == nil {
+				dst.Append(v)
+			} else {
+				dst.AppendMutable()
+			}
+		}
+		if fd.Message() != nil {
+			m.combine(at, dst.Get(index).Message(), v.Message(), o)
+		}
+	}
+}
+
+// fillDefaults sets the fields that have a default and that no file sets.
+func (m *Merged) fillDefaults(path string, msg protoreflect.Message) {
+	fields := msg.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		at := joinPath(path, fd)
+		switch {
+		case fd.IsList() && fd.Message() != nil:
+			list := msg.Get(fd).List()
+			for j := range list.Len() {
+				m.fillDefaults(at+"["+parser.Key(fd, list.Get(j))+"]", list.Get(j).Message())
+			}
+		case fd.IsList():
+		case fd.Message() != nil:
+			m.fillDefaults(at, msg.Mutable(fd).Message())
+		case !msg.Has(fd):
+			if v, ok := parser.DefaultOf(fd); ok {
+				msg.Set(fd, v)
+				m.positions[at] = parser.Position{}
+			}
+		}
 	}
-	return out, nil
 }
--- /dev/null
+++ b/pkg/merger/print.go
@@ -0,0 +1,81 @@
+package merger
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"catkindyke/pkg/parser"
+)
+
+// format shows a value as it stands in a file.
+func format(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	switch fd.Kind() {
+	case protoreflect.StringKind:
+		return strconv.Quote(v.String())
+	case protoreflect.DoubleKind:
+		return strconv.FormatFloat(v.Float(), 'f', -1, 64)
+	default:
+		return strconv.FormatUint(v.Uint(), 10)
+	}
+}
+
+// YAML returns the merged configuration as a base file. A comment names the
+// origin of each field that does not come from the base.
+func (m *Merged) YAML() string {
+	var b strings.Builder
+	m.writeMessage(&b, "", "", m.cfg.ProtoReflect())
+	return b.String()
+}
+
+// writeMessage writes the set fields of a message, each on a line with the
+// given indent.
+func (m *Merged) writeMessage(b *strings.Builder, path, indent string, msg protoreflect.Message) {
+	fields := msg.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		if !msg.Has(fd) {
+			continue
+		}
+		at := joinPath(path, fd)
+		fmt.Fprintf(b, "%s%s:", indent, fd.Name())
+		switch {
+		case fd.IsList():
+			b.WriteString("\n")
+			m.writeList(b, at, indent+"  ", msg.Get(fd).List(), fd)
+		case fd.Message() != nil:
+			b.WriteString("\n")
+			m.writeMessage(b, at, indent+"  ", msg.Get(fd).Message())
+		default:
+			fmt.Fprintf(b, " %s%s\n", format(fd, msg.Get(fd)), m.comment(at, fd))
+		}
+	}
+}
+
+func (m *Merged) writeList(b *strings.Builder, path, indent string, list protoreflect.List, fd protoreflect.FieldDescriptor) {
+	for i := range list.Len() {
+		v := list.Get(i)
+		at := path + "[" + parser.Key(fd, v) + "]"
+		if fd.Message() == nil {
+			fmt.Fprintf(b, "%s- %s%s\n", indent, format(fd, v), m.comment(at, fd))
+			continue
+		}
+		var entry strings.Builder
+		m.writeMessage(&entry, at, indent+"  ", v.Message())
+		b.WriteString(indent + "- " + strings.TrimPrefix(entry.String(), indent+"  "))
+	}
+}
+
+// comment names the origin of a field that the base does not set.
+func (m *Merged) comment(path string, fd protoreflect.FieldDescriptor) string {
+	p := m.Position(path)
+	if p.File == m.base {
+		return ""
+	}
+	if was, ok := m.overridden[path]; ok {
+		return fmt.Sprintf(" # %s; was %s at %s", p, format(fd, was.value), was.position)
+	}
+	return " # " + p.String()
+}
