Take an owner's latest token and check promises in a directed schedule

Cause: a voter kept the greater of two tokens, so the lower epoch of a restarted owner could shut it out; found by reading. Change: the latest token replaces the former one, with a test of a restart.

Conclusion: each rule of the election has a check that is known to fail without it.

--- a/pkg/dispatcher/dispatcher_test.go
+++ b/pkg/dispatcher/dispatcher_test.go
@@ -142,3 +142,19 @@
 		t.Error("a new view lost a permit")
 	}
 }
+
+// TestOwnerRestarts guards against a voter that keeps the token of an earlier
+// incarnation and against an owner that takes such a token for its own.
+func TestOwnerRestarts(t *testing.T) {
+	v := NewVoter(DefaultRules(), "b", 0)
+	old := New(Config{Self: "a", Epoch: 9, Rules: DefaultRules()}).Token(5000)
+	restarted := New(Config{Self: "a", Epoch: 2, Rules: DefaultRules()})
+	v.Token("a", old, 100)
+	if _, ok := restarted.tokenTime(v.LatestToken("a")); ok {
+		t.Error("token of an earlier incarnation taken")
+	}
+	v.Token("a", restarted.Token(10), 200)
+	if at, ok := restarted.tokenTime(v.LatestToken("a")); !ok || at != 10 {
+		t.Errorf("token time %d, %v, want 10", at, ok)
+	}
+}
--- a/pkg/dispatcher/invariant_test.go
+++ b/pkg/dispatcher/invariant_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -95,7 +96,6 @@
 func TestRulesAreNeeded(t *testing.T) {
 	for name, mutate := range map[string]func(*Rules){
 		"quorum_of_one": func(r *Rules) { r.Quorum = func(int) int { return 1 } },
-		"no_promise":    func(r *Rules) { r.PromiseLease = 0 },
 		"early_expiry":  func(r *Rules) { r.HolderLease = 100 },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -170,3 +170,76 @@
 		})
 	}
 }
+
+// twoElected moves a voter from one owner to another while its earlier vote
+// still counts, and reports whether both owners are elected at one time.
+func twoElected(rules Rules) bool {
+	const start = 10000
+	hosts := []string{"a", "b", "c"}
+	old := Owner("s0", hosts)
+	rest := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == old })
+	next := Owner("s0", rest)
+	voter := rest[0]
+	if voter == next {
+		voter = rest[1]
+	}
+	nodes := make(map[string]*Dispatcher)
+	for _, h := range hosts {
+		nodes[h] = New(Config{Self: h, Epoch: 1, Rules: rules})
+	}
+	for now := clock.Millis(start); now < start+4000; now += 50 {
+		for _, h := range hosts {
+			view := hosts
+			if h != old && now >= start+1000 {
+				view = rest
+			}
+			nodes[h].SetView(View{Eligible: view, Region: view, Live: view, Services: []Service{{Name: "svc", Servers: []Server{{Name: "s0", Slots: 1}}}}}, now)
+		}
+		for _, to := range []string{old, next} {
+			for _, from := range []string{voter, to} {
+				v := nodes[from].Voter()
+				// The former owner is cut off from the voter when the view changes.
+				if from != to && to == old && now >= start+1000 {
+					continue
+				}
+				v.Token(to, nodes[to].Token(now), now)
+				nodes[to].Report(&schema.ReportPermitsRequest{
+					Host: from, Incarnation: 1, Token: v.LatestToken(to), Votes: v.Votes(to, nodes[from].Owners(), now),
+					RegionHosts: uint32(nodes[from].RegionHosts(now)),
+				}, now)
+			}
+		}
+		both := 0
+		for _, h := range []string{old, next} {
+			if s := nodes[h].servers["s0"]; s.owned && nodes[h].elected(s, now) {
+				both++
+			}
+		}
+		if both == 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPromise guards against two owners that are elected at one time because a voter changed its mind.
+func TestPromise(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		mutate func(*Rules)
+		twice  bool
+	}{
+		{"rules", func(*Rules) {}, false},
+		{"no_promise", func(r *Rules) { r.PromiseLease = 0 }, true},
+		{"promise_shorter_than_vote", func(r *Rules) { r.PromiseLease = r.VoteLease / 2 }, true},
+		{"quorum_of_one", func(r *Rules) { r.Quorum = func(int) int { return 1 } }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rules := DefaultRules()
+			tc.mutate(&rules)
+			if got := twoElected(rules); got != tc.twice {
+				t.Errorf("two owners elected: %v, want %v", got, tc.twice)
+			}
+		})
+	}
+}
--- a/pkg/dispatcher/ownership.go
+++ b/pkg/dispatcher/ownership.go
@@ -76,19 +76,16 @@
 // Fresh reports whether an earlier incarnation may still have promises out.
 func (v *Voter) Fresh(now clock.Millis) bool { return now-v.start < v.rules.PromiseLease }
 
-// Token takes a token from an owner's answer. sent orders answers that overtake each other.
+// Token takes a token from an owner's answer. An answer that was overtaken may
+// replace a newer token; the vote then counts for a shorter time. Tokens are not
+// compared, because those of a new incarnation may be lower.
 func (v *Voter) Token(owner string, value uint64, now clock.Millis) {
-	if value > v.tokens[owner].value {
-		v.tokens[owner] = token{value, now}
-	}
+	v.tokens[owner] = token{value, now}
 }
 
 // LatestToken returns the latest token of an owner, zero when there is none.
 func (v *Voter) LatestToken(owner string) uint64 { return v.tokens[owner].value }
 
-// Forget drops the token of an owner whose incarnation changed; promises stay.
-func (v *Voter) Forget(owner string) { delete(v.tokens, owner) }
-
 // Votes returns the servers for which the voter supports the receiver, by the
 // owners that it believes in. A promise to another owner is kept until it ends.
 func (v *Voter) Votes(receiver string, owners map[string]string, now clock.Millis) []string {
