--- /dev/null
+++ b/_scripts/dispatchbench/main.go
@@ -0,0 +1,260 @@
+// Command dispatchbench compares ways to share backend servers between hosts
+// in virtual time, with fixed seeds. Run: go run ./_scripts/dispatchbench
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/dispatcher"
+)
+
+// size is one service in one region of a deployment.
+type size struct {
+	name                  string
+	hosts, servers, slots int
+}
+
+// Regions hold a third of the servers and of the (up to 12) hosts.
+var sizes = []size{
+	{"soevig/dispatch", 4, 10, 3},
+	{"soevig/survey", 4, 4, 3},
+	{"bollard/order-desk", 4, 7, 4},
+	{"bollard/mill-ledger", 4, 4, 3},
+}
+
+const (
+	// usualMean is the mean of the exponential service time. The resolution is 1 ms.
+	usualMean = 100
+	// longMean is used to show a pause that outlasts a lease while requests go on.
+	longMean = 5000
+	// delay is one way between zones, rounded up from 0.5 ms.
+	delay = 1
+	// warmUp is not measured; owners need it to be elected.
+	warmUp = 6000
+	// faultAt is the start of a fault.
+	faultAt = 20000
+)
+
+// sim is a run in virtual time.
+type sim struct {
+	size
+	mean    float64
+	rng     *rand.Rand
+	now     clock.Millis
+	calls   map[clock.Millis][]func()
+	inUse   []int
+	queues  [][]func()
+	latency []int
+	refused int
+	sent    int
+	peak    int
+	// overTime counts milliseconds with a server above its slots.
+	overTime int
+	// overFrom and overTo are the first and last time of that.
+	overFrom, overTo clock.Millis
+}
+
+func newSim(sz size, seed int64) *sim {
+	return &sim{
+		size: sz, mean: usualMean, rng: rand.New(rand.NewSource(seed)), calls: make(map[clock.Millis][]func()),
+		inUse: make([]int, sz.servers), queues: make([][]func(), sz.servers),
+	}
+}
+
+func (s *sim) after(d clock.Millis, f func()) {
+	at := s.now + max(1, d)
+	s.calls[at] = append(s.calls[at], f)
+}
+
+// serve runs a request at a server, which queues what is above its slots.
+func (s *sim) serve(server int, done func()) {
+	s.inUse[server]++
+	s.peak = max(s.peak, s.inUse[server]-s.slots)
+	run := func() {
+		s.after(clock.Millis(s.rng.ExpFloat64()*s.mean), func() {
+			s.inUse[server]--
+			if q := s.queues[server]; len(q) > 0 {
+				s.queues[server] = q[1:]
+				q[0]()
+			}
+			done()
+		})
+	}
+	if s.inUse[server] > s.slots {
+		s.queues[server] = append(s.queues[server], run)
+		return
+	}
+	run()
+}
+
+// finish records a request that arrived at a time.
+func (s *sim) finish(arrived clock.Millis) {
+	if arrived >= warmUp {
+		s.latency = append(s.latency, int(s.now-arrived))
+	}
+}
+
+// scheme takes requests at a host; tick runs each millisecond.
+type scheme interface {
+	arrive(s *sim, host int)
+	tick(s *sim)
+}
+
+// run sends Poisson traffic at a load for a time.
+func (s *sim) run(sch scheme, load float64, until clock.Millis) {
+	next := 0.0
+	rate := load * float64(s.servers*s.slots) / s.mean
+	for s.now = 0; s.now < until; s.now++ {
+		due := s.calls[s.now]
+		delete(s.calls, s.now)
+		for _, f := range due {
+			f()
+		}
+		for next <= float64(s.now) {
+			next += s.rng.ExpFloat64() / rate
+			if s.now >= warmUp {
+				s.sent++
+			}
+			sch.arrive(s, s.rng.Intn(s.hosts))
+		}
+		sch.tick(s)
+		if slices.Max(s.inUse) > s.slots {
+			if s.overTime == 0 {
+				s.overFrom = s.now
+			}
+			s.overTime++
+			s.overTo = s.now
+		}
+	}
+}
+
+func (s *sim) quantile(q float64) int {
+	if len(s.latency) == 0 {
+		return 0
+	}
+	slices.Sort(s.latency)
+	return s.latency[int(q*float64(len(s.latency)-1))]
+}
+
+// ideal is one queue that knows each slot without delay.
+type ideal struct{ waiting []func(server int) }
+
+func (c *ideal) arrive(s *sim, _ int) {
+	arrived := s.now
+	c.waiting = append(c.waiting, func(server int) { s.serve(server, func() { s.finish(arrived); c.tick(s) }) })
+	c.tick(s)
+}
+
+func (c *ideal) tick(s *sim) {
+	for server := 0; server < s.servers && len(c.waiting) > 0; server++ {
+		for s.inUse[server] < s.slots && len(c.waiting) > 0 {
+			f := c.waiting[0]
+			c.waiting = c.waiting[1:]
+			f(server)
+		}
+	}
+}
+
+// local chooses by a host's own counts among some of its servers.
+type local struct {
+	counts  [][]int
+	choices func(s *sim, host int) []int
+}
+
+func newLocal(sz size, choices func(*sim, int) []int) *local {
+	c := &local{choices: choices}
+	for range sz.hosts {
+		c.counts = append(c.counts, make([]int, sz.servers))
+	}
+	return c
+}
+
+func (c *local) arrive(s *sim, host int) {
+	arrived, counts := s.now, c.counts[host]
+	best := -1
+	for _, i := range c.choices(s, host) {
+		if best < 0 || counts[i] < counts[best] {
+			best = i
+		}
+	}
+	counts[best]++
+	s.after(delay, func() {
+		s.serve(best, func() {
+			s.after(delay, func() { counts[best]--; s.finish(arrived) })
+		})
+	})
+}
+
+func (c *local) tick(*sim) {}
+
+// twoRandom are the choices of power of two choices.
+func twoRandom(s *sim, _ int) []int { return s.rng.Perm(s.servers)[:2] }
+
+// subset gives each host half of the servers, so that each server is in two hosts' subsets of four.
+func subset(s *sim, host int) []int {
+	var out []int
+	for i := range (s.servers + 1) / 2 {
+		out = append(out, (host*s.servers/s.hosts+i)%s.servers)
+	}
+	return out
+}
+
+func main() {
+	seconds := flag.Int("seconds", 120, "virtual seconds for each case")
+	seed := flag.Int64("seed", 1, "seed")
+	flag.Parse()
+	until := clock.Millis(*seconds) * clock.Second
+	fmt.Println("| size | load % | scheme | p50 | p99 | p99.9 | p99 / ideal | refused % | peak above slots | ms above | from | to |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, sz := range sizes {
+		for _, load := range []float64{0.5, 0.8, 0.95, 1.2} {
+			base := 0
+			for _, name := range []string{"ideal", "local p2c", "subset", "owner"} {
+				s := newSim(sz, *seed)
+				s.run(schemeOf(name, s, ""), load, until)
+				if name == "ideal" {
+					base = s.quantile(0.99)
+				}
+				s.print(load, name, base)
+			}
+		}
+	}
+	for _, sz := range sizes {
+		for _, fault := range []string{"host dies", "views differ 3 s", "cut in halves 10 s"} {
+			s := newSim(sz, *seed)
+			s.run(schemeOf("owner", s, fault), 0.8, until)
+			s.print(0.8, "owner, "+fault, 0)
+		}
+		s := newSim(sz, *seed)
+		s.mean = longMean
+		s.run(schemeOf("owner", s, "host paused 4 s"), 0.8, until)
+		s.print(0.8, "owner, host paused 4 s, requests of 5 s", 0)
+	}
+}
+
+func schemeOf(name string, s *sim, fault string) scheme {
+	switch name {
+	case "ideal":
+		return &ideal{}
+	case "local p2c":
+		return newLocal(s.size, twoRandom)
+	case "subset":
+		return newLocal(s.size, subset)
+	default:
+		return newOwners(s, dispatcher.DefaultRules(), fault)
+	}
+}
+
+func (s *sim) print(load float64, name string, base int) {
+	ratio := "-"
+	if base > 0 {
+		ratio = fmt.Sprintf("%.2f", float64(s.quantile(0.99))/float64(base))
+	}
+	fmt.Printf("| %s | %.0f | %s | %d | %d | %d | %s | %.2f | %d | %d | %d | %d |\n", s.name, load*100, name,
+		s.quantile(0.5), s.quantile(0.99), s.quantile(0.999), ratio,
+		100*float64(s.refused)/float64(max(1, s.sent)), s.peak, s.overTime, s.overFrom, s.overTo)
+}
--- a/pkg/dispatcher/entry.go
+++ b/pkg/dispatcher/entry.go
@@ -64,18 +64,34 @@
 	Busy int
 	// Sent counts own requests in flight since that report.
 	Sent int
+	// Own counts all own requests in flight at the owner, and Hosts the hosts
+	// that send alike. Together they estimate the load without any lag.
+	Own, Hosts int
 }
 
-func (c Candidate) load() float64 {
+// Chooser chooses among owners.
+type Chooser struct {
+	// ReportWeight is the part of the owners' reports in the estimate of load; the
+	// rest comes from own requests in flight. With reports alone, owners get all
+	// or none of the requests in turn when reports are 2 s old.
+	ReportWeight float64
+}
+
+// DefaultChooser returns the chooser in use. At weights of 0.5 and below, a
+// second's share of one of three owners stays near a third at any lag of reports.
+func DefaultChooser() Chooser { return Chooser{ReportWeight: 0.5} }
+
+func (h Chooser) load(c Candidate) float64 {
 	if c.Slots <= 0 {
 		return 1 << 30
 	}
-	return float64(max(0, c.Busy+c.Sent)) / float64(c.Slots)
+	reported, own := float64(max(0, c.Busy+c.Sent)), float64(c.Own*max(1, c.Hosts))
+	return (h.ReportWeight*reported + (1-h.ReportWeight)*own) / float64(c.Slots)
 }
 
-// ChooseOwner returns the index of the less loaded of two random candidates.
+// Choose returns the index of the less loaded of two random candidates.
 // intn returns a random number below n.
-func ChooseOwner(candidates []Candidate, intn func(int) int) int {
+func (h Chooser) Choose(candidates []Candidate, intn func(int) int) int {
 	n := len(candidates)
 	if n < 2 {
 		return 0
@@ -84,7 +100,7 @@
 	if b >= a {
 		b++
 	}
-	if candidates[b].load() < candidates[a].load() {
+	if h.load(candidates[b]) < h.load(candidates[a]) {
 		return b
 	}
 	return a
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -38,9 +38,10 @@
 }
 
 type ownerStat struct {
-	load   *schema.PoolLoad
-	sent   int
-	silent clock.Millis
+	load *schema.PoolLoad
+	// sent counts requests in flight since the load, own all of them.
+	sent, own int
+	silent    clock.Millis
 }
 
 func newOwnerStats() *ownerStats { return &ownerStats{byName: make(map[string]*ownerStat)} }
@@ -59,7 +60,9 @@
 func (o *ownerStats) add(owner, service string, n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.get(owner, service).sent += n
+	s := o.get(owner, service)
+	s.sent += n
+	s.own += n
 }
 
 func (o *ownerStats) setSilent(owner, service string, until clock.Millis) {
@@ -69,8 +72,8 @@
 }
 
 // choose takes one of the owners by power of two choices on load per slot.
-// Owners that did not answer lately are taken only when there is no other.
-func (o *ownerStats) choose(hosts []snapshotter.Host, service string, now clock.Millis) int {
+// fleet is the number of hosts that send alike. Owners that did not answer lately are taken only when there is no other.
+func (o *ownerStats) choose(hosts []snapshotter.Host, service string, fleet int, now clock.Millis) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []dispatcher.Candidate
@@ -81,13 +84,13 @@
 			if pass == 0 && now < s.silent {
 				continue
 			}
-			list, index = append(list, s.candidate(h, service)), append(index, i)
+			list, index = append(list, s.candidate(h, service, fleet)), append(index, i)
 		}
 	}
-	return index[dispatcher.ChooseOwner(list, rand.IntN)]
+	return index[dispatcher.DefaultChooser().Choose(list, rand.IntN)]
 }
 
-func (s *ownerStat) candidate(h snapshotter.Host, service string) dispatcher.Candidate {
+func (s *ownerStat) candidate(h snapshotter.Host, service string, fleet int) dispatcher.Candidate {
 	c := dispatcher.Candidate{Host: h.Name}
 	for _, l := range h.Pools {
 		if l.GetService() != service {
@@ -99,10 +102,21 @@
 		}
 		c.Slots, c.Busy = int(l.GetSlots()), int(l.GetInUse()+l.GetQueued())
 	}
-	c.Sent = s.sent
+	c.Sent, c.Own, c.Hosts = s.sent, s.own, fleet
 	return c
 }
 
+// hostsIn counts the live hosts of a region.
+func hostsIn(snap *snapshotter.Snapshot, region string) int {
+	n := 0
+	for _, h := range snap.Hosts() {
+		if h.Region == region {
+			n++
+		}
+	}
+	return n
+}
+
 // ownersOf returns the hosts of a region that own servers of a service.
 func ownersOf(snap *snapshotter.Snapshot, svc *snapshotter.Service, region string) []snapshotter.Host {
 	byName := make(map[string]snapshotter.Host)
@@ -144,7 +158,7 @@
 		if len(owners) == 0 {
 			break
 		}
-		i := h.owners.choose(owners, svc.Config().GetName(), h.clock.Now())
+		i := h.owners.choose(owners, svc.Config().GetName(), hostsIn(snap, region), h.clock.Now())
 		a := &acquisition{h: h, owner: owners[i], region: region, service: svc.Config().GetName(), workspace: workspace, exclude: exclude}
 		permit, err := a.run(ctx)
 		if err == nil {
