--- a/pkg/dispatcher/ownership.go
+++ b/pkg/dispatcher/ownership.go
@@ -33,7 +33,9 @@
 	HandOverWait clock.Millis
 	// HolderLease is the silence of an entry host after which its permits are freed.
 	HolderLease clock.Millis
-	// DeadAfter is the silence after which a host of the region no longer counts for the quorum.
+	// DeadAfter is the time after a host of the region left the view for which it
+	// still counts for the quorum. A longer time tolerates a longer cut and lets a
+	// region of two hosts stand still for longer when one dies.
 	DeadAfter clock.Millis
 	// Quorum returns the votes needed among a number of hosts.
 	Quorum func(hosts int) int
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -153,7 +153,7 @@
 
 func (h *Host) acquireIn(ctx context.Context, snap *snapshotter.Snapshot, svc *snapshotter.Service, region, workspace string, exclude []string) (forwarder.Permit, error) {
 	owners := ownersOf(snap, svc, region)
-	var refusal error = errNoOwner
+	refusal := errNoOwner
 	for range ownersAsked {
 		if len(owners) == 0 {
 			break
