Bound permits by connections and check votes of restarted hosts

Cause: the connections field had no effect, and no check showed that votes of a restarted voter must not count. Change: an owner grants at most the smaller of slots and connections; FreshTime is a rule of its own, and TestPromise has a restart with and without it.

Before: no_fresh_time was not checked.

Conclusion: each rule of the election has a case that fails without it.

--- a/pkg/dispatcher/invariant_test.go
+++ b/pkg/dispatcher/invariant_test.go
@@ -172,8 +172,9 @@
 }
 
 // twoElected moves a voter from one owner to another while its earlier vote
-// still counts, and reports whether both owners are elected at one time.
-func twoElected(rules Rules) bool {
+// still counts, and reports whether both owners are elected at one time. With
+// restart the voter is a new incarnation that has forgotten its vote.
+func twoElected(rules Rules, restart bool) bool {
 	const start = 10000
 	hosts := []string{"a", "b", "c"}
 	old := Owner("s0", hosts)
@@ -188,6 +189,9 @@
 		nodes[h] = New(Config{Self: h, Epoch: 1, Rules: rules})
 	}
 	for now := clock.Millis(start); now < start+4000; now += 50 {
+		if restart && now == start+1000 {
+			nodes[voter] = New(Config{Self: voter, Epoch: 2, Start: now, Rules: rules})
+		}
 		for _, h := range hosts {
 			view := hosts
 			if h != old && now >= start+1000 {
@@ -205,7 +209,7 @@
 				v.Token(to, nodes[to].Token(now), now)
 				nodes[to].Report(&schema.ReportPermitsRequest{
 					Host: from, Incarnation: 1, Token: v.LatestToken(to), Votes: v.Votes(to, nodes[from].Owners(), now),
-					RegionHosts: uint32(nodes[from].RegionHosts(now)),
+					RegionHosts: uint32(nodes[from].RegionHosts(now)), Fresh: v.Fresh(now),
 				}, now)
 			}
 		}
@@ -222,22 +226,25 @@
 	return false
 }
 
-// TestPromise guards against two owners that are elected at one time because a voter changed its mind.
+// TestPromise guards against two owners that are elected at one time because a voter changed its mind or forgot its vote.
 func TestPromise(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		mutate func(*Rules)
-		twice  bool
+		name    string
+		mutate  func(*Rules)
+		restart bool
+		twice   bool
 	}{
-		{"rules", func(*Rules) {}, false},
-		{"no_promise", func(r *Rules) { r.PromiseLease = 0 }, true},
-		{"promise_shorter_than_vote", func(r *Rules) { r.PromiseLease = r.VoteLease / 2 }, true},
-		{"quorum_of_one", func(r *Rules) { r.Quorum = func(int) int { return 1 } }, true},
+		{"rules", func(*Rules) {}, false, false},
+		{"rules_restart", func(*Rules) {}, true, false},
+		{"no_promise", func(r *Rules) { r.PromiseLease = 0 }, false, true},
+		{"promise_shorter_than_vote", func(r *Rules) { r.PromiseLease = r.VoteLease / 2 }, false, true},
+		{"quorum_of_one", func(r *Rules) { r.Quorum = func(int) int { return 1 } }, false, true},
+		{"no_fresh_time", func(r *Rules) { r.FreshTime = 0 }, true, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			rules := DefaultRules()
 			tc.mutate(&rules)
-			if got := twoElected(rules); got != tc.twice {
+			if got := twoElected(rules, tc.restart); got != tc.twice {
 				t.Errorf("two owners elected: %v, want %v", got, tc.twice)
 			}
 		})
--- a/pkg/dispatcher/ownership.go
+++ b/pkg/dispatcher/ownership.go
@@ -26,6 +26,8 @@
 	// PromiseLease is how long a voter keeps to its vote, from the receipt of the
 	// token. It exceeds VoteLease by 25 % for clocks of different speed.
 	PromiseLease clock.Millis
+	// FreshTime is the time after a host's start for which an earlier incarnation may have promises out.
+	FreshTime clock.Millis
 	// GrantUse is the time from sending Acquire within which the entry host may start to use the grant.
 	GrantUse clock.Millis
 	// HandOverWait is the time after winning the votes for which an owner waits
@@ -44,7 +46,7 @@
 // DefaultRules returns the rules in use. The permit lease is 2 s (docs/design.md, 5.6).
 func DefaultRules() Rules {
 	return Rules{
-		VoteLease: 2000, PromiseLease: 2500, GrantUse: 500, HandOverWait: 625,
+		VoteLease: 2000, PromiseLease: 2500, FreshTime: 2500, GrantUse: 500, HandOverWait: 625,
 		HolderLease: 2500, DeadAfter: 4500, Quorum: func(n int) int { return n/2 + 1 },
 	}
 }
@@ -76,7 +78,7 @@
 }
 
 // Fresh reports whether an earlier incarnation may still have promises out.
-func (v *Voter) Fresh(now clock.Millis) bool { return now-v.start < v.rules.PromiseLease }
+func (v *Voter) Fresh(now clock.Millis) bool { return now-v.start < v.rules.FreshTime }
 
 // Token takes a token from an owner's answer. An answer that was overtaken may
 // replace a newer token; the vote then counts for a shorter time. Tokens are not
--- a/pkg/runner/slots.go
+++ b/pkg/runner/slots.go
@@ -182,7 +182,12 @@
 			ServiceTime: clock.Millis(cfg.GetServiceTimeMs()), Polled: cfg.GetHealthPath() != "",
 		}
 		for _, b := range svc.Servers(region) {
-			out.Servers = append(out.Servers, dispatcher.Server{Name: b.GetName(), Address: b.GetAddress(), Slots: svc.Slots(b)})
+			slots := svc.Slots(b)
+			if n := int(cfg.GetConnections()); n > 0 {
+				// Each request in flight has a connection of its own.
+				slots = min(slots, n)
+			}
+			out.Servers = append(out.Servers, dispatcher.Server{Name: b.GetName(), Address: b.GetAddress(), Slots: slots})
 		}
 		view.Services = append(view.Services, out)
 	}
