Hold share slots under leases and lend tokens between hosts

Cause: each host used a fixed part of every rate, so that a workspace that sends to one host was refused although it was within its rate.

--- a/cmd/catkindyke/commander/demo.go
+++ b/cmd/catkindyke/commander/demo.go
@@ -185,7 +185,7 @@
 	return nil
 }
 
-// waitReady waits until each host has the configuration and keys and hears all others.
+// waitReady waits until each host has the configuration, keys and share slots and hears all others.
 func (d *demo) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, demoStartTimeout)
 	defer cancel()
@@ -203,7 +203,8 @@
 
 func (d *demo) ready(h *runner.Host) bool {
 	s := h.Snapshot()
-	return s.Ready() && s.Versions()[replicator.Keys] >= uint64(len(d.keys)) && len(s.Hosts()) == len(d.hosts)
+	return s.Ready() && s.Versions()[replicator.Keys] >= uint64(len(d.keys)) && len(s.Hosts()) == len(d.hosts) &&
+		h.Lease().Slots > 0
 }
 
 func (d *demo) run(ctx context.Context, c *Commander, duration time.Duration) error {
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/leaser"
 	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/replicator"
@@ -53,6 +54,11 @@
 	done    chan struct{}
 	snap    atomic.Pointer[snapshotter.Snapshot]
 	limiter *limiter.Limiter
+	leaser  *leaser.Leaser
+	// readingLedger says that a read of the ledger is under way.
+	readingLedger bool
+	lease         atomic.Pointer[Lease]
+	peers         atomic.Pointer[map[string]string]
 
 	// The fields below belong to the control goroutine.
 
@@ -73,13 +79,16 @@
 		cfg:      cfg,
 		inbox:    make(chan func(), 256),
 		done:     make(chan struct{}),
-		limiter:  limiter.New(),
+		limiter:  limiter.New(limiter.Config{}),
 		docs:     replicator.NewSet(),
 		startup:  replicator.NewStartup(cfg.Clock.Now()),
 		members:  tracker.New(cfg.Self.Name),
 		state:    schema.HostState_HOST_STATE_STARTING,
 		fetching: make(map[string]bool),
 	}
+	c.leaser = leaser.New(leaser.Config{Host: cfg.Self.Name, Incarnation: cfg.Self.Incarnation, Region: cfg.Self.Region})
+	c.lease.Store(&Lease{})
+	c.peers.Store(&map[string]string{})
 	c.input = snapshotter.Input{
 		Self: cfg.Self, Config: &schema.Config{}, Keys: &schema.Keys{},
 		Drains: &schema.Drains{}, Plan: &schema.Plan{}, Hosts: []snapshotter.Host{cfg.Self},
@@ -94,17 +103,13 @@
 // Limiter returns the host's part of the fleet-wide buckets.
 func (c *Controller) Limiter() *limiter.Limiter { return c.limiter }
 
-// Admit takes a token of a bucket, or says when to try again.
-func (c *Controller) Admit(_ context.Context, bucket string) (bool, clock.Millis) {
-	return c.limiter.Admit(bucket, c.cfg.Clock.Now())
-}
-
 // Run owns the control state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
 	for _, kind := range replicator.Kinds {
 		go c.watchDocument(ctx, kind)
 	}
+	go c.watchLedger(ctx)
 	go c.pollHeads(ctx)
 	go c.pollHosts(ctx)
 	tick := time.NewTicker(heartbeatInterval)
@@ -172,7 +177,7 @@
 	now := c.cfg.Clock.Now()
 	c.members.Forget(now)
 	c.heartbeat(ctx)
-	c.updateShares(now)
+	c.updateShares(ctx, now)
 	c.publish()
 }
 
--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/tracker"
 )
@@ -26,10 +27,18 @@
 // heartbeat sends the host's state to its peers.
 func (c *Controller) heartbeat(ctx context.Context) {
 	c.sequence++
-	req := &schema.HeartbeatRequest{Sender: c.self()}
+	sender, now := c.self(), c.cfg.Clock.Now()
+	names := make(map[string]string)
+	for _, m := range c.members.Members() {
+		names[m.Info().GetPeerAddress()] = m.Info().GetName()
+	}
 	for _, address := range c.targets() {
 		c.startup.Asked(address)
-		go c.sendHeartbeat(ctx, address, req)
+		fields := c.leaser.HeartbeatOut(names[address], c.sequence, now)
+		go c.sendHeartbeat(ctx, address, now, &schema.HeartbeatRequest{
+			Sender: sender, LedgerVersion: fields.LedgerVersion,
+			Acknowledged: fields.Acknowledged, ReleaseHold: fields.ReleaseHold,
+		})
 	}
 }
 
@@ -47,7 +56,7 @@
 	return out
 }
 
-func (c *Controller) sendHeartbeat(ctx context.Context, address string, req *schema.HeartbeatRequest) {
+func (c *Controller) sendHeartbeat(ctx context.Context, address string, sent clock.Millis, req *schema.HeartbeatRequest) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := c.cfg.Peer(ctx, address).Heartbeat(ctx, req)
@@ -63,6 +72,7 @@
 		}
 		c.startup.Answered(address, versions)
 		c.observe(ctx, resp.GetSender())
+		c.promised(ctx, req, resp, sent)
 	})
 }
 
@@ -95,7 +105,8 @@
 func (c *Controller) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (resp *schema.HeartbeatResponse, err error) {
 	err = c.call(ctx, func() {
 		c.observe(ctx, req.GetSender())
-		resp = &schema.HeartbeatResponse{Sender: c.self()}
+		promise := c.promise(ctx, req)
+		resp = &schema.HeartbeatResponse{Sender: c.self(), Promise: promise, LedgerVersion: c.leaser.Version()}
 	})
 	return resp, err
 }
--- a/pkg/controller/shares.go
+++ b/pkg/controller/shares.go
@@ -1,12 +1,227 @@
 package controller
 
 import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
 	"catkindyke/pkg/clock"
-	"catkindyke/pkg/limiter"
+	"catkindyke/pkg/leaser"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
 )
 
-// updateShares splits the share slots evenly over the known fleet.
-func (c *Controller) updateShares(now clock.Millis) {
-	fleet := len(c.members.Members()) + 1
-	c.limiter.SetShare(limiter.Slots/fleet, now+8*clock.Second, now)
+// ledgerName is the object that records the holder of each share slot.
+const ledgerName = "ledger"
+
+// handOverTimeout bounds the wait for the ledger write of a planned stop. The
+// slots stay with the host's record when the store is away.
+const handOverTimeout = 5 * time.Second
+
+// Lease is what status shows of the host's share.
+type Lease struct {
+	// Slots is the number of share slots that the host may use.
+	Slots int
+	// Deadline is the end of the lease on the host's own clock.
+	Deadline clock.Millis
+	// LedgerVersion is the ledger version that the host has read.
+	LedgerVersion uint64
+}
+
+// Lease returns the host's share as of the last change.
+func (c *Controller) Lease() Lease { return *c.lease.Load() }
+
+// updateShares lets the leaser decide and puts the result in force. It runs on
+// the control goroutine.
+func (c *Controller) updateShares(ctx context.Context, now clock.Millis) {
+	in := c.leaseInput(now)
+	action := c.leaser.Tick(in, now)
+	if action.Write != nil {
+		go c.writeLedger(ctx, action.Write)
+	}
+	if action.Read {
+		c.readLedger(ctx)
+	}
+	c.applyShare(now)
+}
+
+func (c *Controller) applyShare(now clock.Millis) {
+	slots, deadline := c.leaser.Share(now)
+	old := c.Lease()
+	c.limiter.SetShare(slots, deadline, now)
+	if old.Slots > 0 && old.Deadline > 0 && now >= old.Deadline && now >= deadline {
+		c.cfg.Log.Warn().Int("slots", old.Slots).Msg("lease_lost")
+		c.cfg.Meter.Add("lease_lost", 1)
+		slots = 0
+	}
+	for _, e := range c.leaser.Events() {
+		c.cfg.Meter.Add(e.Name, 1)
+		c.cfg.Log.Info().Str("peer", e.Host).Int("slots", e.Slots).Uint64("version", c.leaser.Version()).Msg(e.Name)
+	}
+	c.cfg.Meter.Set("share_slots", int64(slots))
+	c.cfg.Meter.Set("version_ledger", int64(c.leaser.Version()))
+	c.lease.Store(&Lease{Slots: slots, Deadline: deadline, LedgerVersion: c.leaser.Version()})
+}
+
+func (c *Controller) leaseInput(now clock.Millis) leaser.Input {
+	in := leaser.Input{
+		ContactAge: leaser.Forever, Live: make(map[string]bool), Lost: make(map[string]bool), Expected: 1,
+	}
+	if c.hasContact {
+		in.ContactAge = now - c.contact
+	}
+	for _, h := range c.input.Drains.GetLostHosts() {
+		in.Lost[h] = true
+	}
+	addresses := make(map[string]string)
+	var near, far []string
+	for _, m := range c.members.Members() {
+		info := m.Info()
+		if info.GetState() == schema.HostState_HOST_STATE_LEAVING {
+			continue
+		}
+		in.Expected++
+		if !m.Live(now) {
+			continue
+		}
+		in.Live[info.GetName()] = true
+		addresses[info.GetName()] = info.GetPeerAddress()
+		if info.GetRegion() == c.cfg.Self.Region {
+			near = append(near, info.GetName())
+		} else {
+			far = append(far, info.GetName())
+		}
+	}
+	c.limiter.SetPeers(append(near, far...))
+	c.peers.Store(&addresses)
+	return in
+}
+
+// watchLedger follows the ledger; in calm times this is one waiting call.
+func (c *Controller) watchLedger(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		sent := c.cfg.Clock.Now()
+		obj, err := c.cfg.Store.Watch(ctx, ledgerName, after, watchWait)
+		switch {
+		case err == nil:
+			after = obj.Version
+			c.storeContact(sent)
+			c.ledgerRead(ctx, obj)
+		case errors.Is(err, storeclient.ErrNotModified):
+			c.storeContact(sent)
+		case errors.Is(err, storeclient.ErrNotFound):
+			pause(ctx, pollInterval)
+		default:
+			pause(ctx, retryWait)
+		}
+	}
+}
+
+// readLedger reads the ledger once; it runs on the control goroutine.
+func (c *Controller) readLedger(ctx context.Context) {
+	if c.readingLedger {
+		return
+	}
+	c.readingLedger = true
+	go func() {
+		obj, err := c.cfg.Store.Get(ctx, ledgerName)
+		c.post(func() { c.readingLedger = false })
+		if err == nil || errors.Is(err, storeclient.ErrNotFound) {
+			c.ledgerRead(ctx, obj)
+		}
+	}()
+}
+
+func (c *Controller) ledgerRead(ctx context.Context, obj storeclient.Object) {
+	ledger := &schema.Ledger{}
+	if err := proto.Unmarshal(obj.Value, ledger); err != nil {
+		c.cfg.Log.Error().Uint64("version", obj.Version).Err(err).Msg("bad_ledger")
+		return
+	}
+	c.post(func() {
+		now := c.cfg.Clock.Now()
+		c.leaser.LedgerRead(obj.Version, ledger, now)
+		c.updateShares(ctx, now)
+	})
+}
+
+func (c *Controller) writeLedger(ctx context.Context, w *leaser.Write) {
+	version, err := uint64(0), error(nil)
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(w.Ledger)
+	if err == nil {
+		version, err = c.cfg.Store.Put(ctx, ledgerName, value, w.IfVersion)
+	}
+	outcome := leaser.Unknown
+	switch {
+	case err == nil:
+		outcome = leaser.Written
+	case errors.Is(err, storeclient.ErrConflict):
+		outcome = leaser.Refused
+	}
+	c.post(func() {
+		now := c.cfg.Clock.Now()
+		c.leaser.WriteResult(outcome, version, now)
+		if outcome == leaser.Refused {
+			c.readLedger(ctx)
+		}
+		c.applyShare(now)
+	})
+}
+
+// promise returns what to promise the sender of a heartbeat; it runs on the
+// control goroutine.
+func (c *Controller) promise(ctx context.Context, req *schema.HeartbeatRequest) schema.PromiseKind {
+	now, age := c.cfg.Clock.Now(), leaser.Forever
+	if c.hasContact {
+		age = now - c.contact
+	}
+	if req.GetLedgerVersion() > c.leaser.Version() {
+		c.readLedger(context.WithoutCancel(ctx))
+	}
+	s := req.GetSender()
+	return c.leaser.HeartbeatIn(leaser.Heartbeat{
+		Host: s.GetName(), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
+		Fields: leaser.Fields{
+			LedgerVersion: req.GetLedgerVersion(), Acknowledged: req.GetAcknowledged(), ReleaseHold: req.GetReleaseHold(),
+		},
+	}, age, now)
+}
+
+// promised takes the promise in the response to a heartbeat; it runs on the
+// control goroutine.
+func (c *Controller) promised(ctx context.Context, req *schema.HeartbeatRequest, resp *schema.HeartbeatResponse, sent clock.Millis) {
+	now, s := c.cfg.Clock.Now(), resp.GetSender()
+	c.leaser.ResponseIn(leaser.Answer{
+		Host: s.GetName(), Incarnation: s.GetIncarnation(), Sequence: req.GetSender().GetSequence(),
+		Sent: sent, Promise: resp.GetPromise(),
+	}, now)
+	if resp.GetLedgerVersion() > c.leaser.Version() {
+		c.readLedger(ctx)
+	}
+	c.applyShare(now)
+}
+
+// HandOver gives the share slots to other hosts at a planned stop. The host
+// admits nothing afterwards.
+func (c *Controller) HandOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for member := true; member; {
+		err := c.call(ctx, func() {
+			now := c.cfg.Clock.Now()
+			c.leaser.Leave(now)
+			c.applyShare(now)
+			member = c.leaser.Member()
+		})
+		if err != nil {
+			return err
+		}
+		if member {
+			pause(ctx, 50*time.Millisecond)
+		}
+	}
+	return nil
 }
--- /dev/null
+++ b/pkg/controller/tokens.go
@@ -0,0 +1,64 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/limiter"
+	"catkindyke/pkg/schema"
+)
+
+// Admit takes a token of a bucket, or says when to try again. While tokens are
+// on their way from other hosts it waits for at most limiter.MaxWait.
+func (c *Controller) Admit(ctx context.Context, bucket string) (bool, clock.Millis) {
+	d := c.limiter.Admit(bucket, c.cfg.Clock.Now())
+	for _, ask := range d.Asks {
+		go c.borrow(ask)
+	}
+	if d.Wait == nil {
+		return d.OK, d.RetryAfter
+	}
+	c.cfg.Meter.Add("token_waits", 1)
+	timer := time.NewTimer(limiter.MaxWait.Duration())
+	defer timer.Stop()
+	select {
+	case <-d.Wait.Done():
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-c.done:
+	}
+	return d.Wait.Cancel(c.cfg.Clock.Now()), d.RetryAfter
+}
+
+// borrow asks a peer for tokens.
+func (c *Controller) borrow(ask limiter.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), limiter.AnswerTimeout.Duration())
+	defer cancel()
+	address, ok := (*c.peers.Load())[ask.Peer]
+	if !ok {
+		c.limiter.Failed(ask, c.cfg.Clock.Now())
+		return
+	}
+	resp, err := c.cfg.Peer(ctx, address).Borrow(ctx, &schema.BorrowRequest{
+		Host: c.cfg.Self.Name, Incarnation: c.cfg.Self.Incarnation,
+		Bucket: ask.Bucket, Tokens: ask.Tokens, Sequence: ask.Sequence,
+	})
+	if err != nil {
+		c.cfg.Meter.Add("borrows_failed", 1)
+		c.limiter.Failed(ask, c.cfg.Clock.Now())
+		return
+	}
+	c.cfg.Meter.Add("borrows", 1)
+	c.limiter.Credit(ask, resp.GetTokens(), c.cfg.Clock.Now())
+}
+
+// Borrow lends tokens to a peer.
+func (c *Controller) Borrow(_ context.Context, req *schema.BorrowRequest) (*schema.BorrowResponse, error) {
+	tokens := c.limiter.Lend(limiter.Request{
+		Host: req.GetHost(), Incarnation: req.GetIncarnation(),
+		Ask: limiter.Ask{Bucket: req.GetBucket(), Tokens: req.GetTokens(), Sequence: req.GetSequence()},
+	}, c.cfg.Clock.Now())
+	c.cfg.Meter.Add("tokens_lent", int64(tokens))
+	return &schema.BorrowResponse{Tokens: tokens}, nil
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -1,5 +1,5 @@
 // Package limiter holds token buckets whose rate and burst are shared by the
-// whole fleet.
+// whole fleet. Tokens move between hosts by lending.
 package limiter
 
 import (
@@ -20,25 +20,62 @@
 	Burst float64
 }
 
+// bucket is a host's part of one limit.
 type bucket struct {
 	limit  Limit
 	tokens float64
 	at     clock.Millis
+	// demand is the smoothed number of requests per second on this host.
+	demand   float64
+	demandAt clock.Millis
+	// borrowed is when this host last asked for tokens.
+	borrowed    clock.Millis
+	hasBorrowed bool
+	waiters     []*Waiter
+	loans       map[string]*loan
+	peers       map[string]*peer
 }
 
 // Limiter holds a host's part of every bucket.
 type Limiter struct {
 	mu       sync.Mutex
+	cfg      Config
 	slots    int
 	deadline clock.Millis
 	buckets  map[string]*bucket
+	peers    []string
+	sequence uint64
+}
+
+// Rule names a rule of lending that tests can omit to show that their checkers notice.
+type Rule uint32
+
+// The rules that Config.Omit can switch off.
+const (
+	RuleDebitLoan Rule = 1 << iota
+	RuleReserveLoan
+	RuleSequence
+	RuleLateAnswer
+	RuleCreditOnce
+	RuleCapCredit
+	RuleLapse
+	RuleLenderLease
+	RuleCheckDeadline
+)
+
+// Config configures a limiter.
+type Config struct {
+	// Omit switches rules off; only tests set it.
+	Omit Rule
 }
 
 // New returns a limiter that holds no share slots.
-func New() *Limiter {
-	return &Limiter{buckets: make(map[string]*bucket)}
+func New(cfg Config) *Limiter {
+	return &Limiter{cfg: cfg, buckets: make(map[string]*bucket)}
 }
 
+func (l *Limiter) omits(r Rule) bool { return l.cfg.Omit&r != 0 }
+
 // SetLimits replaces the limits by bucket name. New buckets start empty.
 func (l *Limiter) SetLimits(limits map[string]Limit, now clock.Millis) {
 	l.mu.Lock()
@@ -46,12 +83,12 @@
 	for name, limit := range limits {
 		b := l.buckets[name]
 		if b == nil {
-			b = &bucket{at: now}
+			b = &bucket{at: now, demandAt: now, loans: make(map[string]*loan), peers: make(map[string]*peer)}
 			l.buckets[name] = b
 		}
 		l.fill(b, now)
 		b.limit = limit
-		b.tokens = min(b.tokens, l.capacity(b))
+		b.tokens = min(b.tokens, l.room(b))
 	}
 	for name := range l.buckets {
 		if _, ok := limits[name]; !ok {
@@ -60,46 +97,109 @@
 	}
 }
 
-// SetShare sets the number of share slots held and the time until which they may be used.
+// SetShare sets the number of share slots held and the time until which they
+// may be used. Tokens are lost when the lease had ended, because another host
+// may have gained tokens from the same slots since.
 func (l *Limiter) SetShare(slots int, deadline, now clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	lapsed := now >= l.deadline && !l.omits(RuleLapse)
 	for _, b := range l.buckets {
 		l.fill(b, now)
+		if lapsed {
+			b.tokens = 0
+		}
 	}
 	l.slots, l.deadline = slots, deadline
 	for _, b := range l.buckets {
-		b.tokens = min(b.tokens, l.capacity(b))
+		b.tokens = min(b.tokens, l.room(b))
+		l.serve(b)
 	}
 }
 
-// Admit takes one token. It returns false and the time after which to try
-// again when there is none, and false when the share lease has ended.
-func (l *Limiter) Admit(name string, now clock.Millis) (bool, clock.Millis) {
+// SetPeers sets the hosts to borrow from, nearest first.
+func (l *Limiter) SetPeers(peers []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers = peers
+}
+
+// Decision is the answer to a request for a token.
+type Decision struct {
+	// OK says that a token was taken.
+	OK bool
+	// RetryAfter is the time after which to try again when OK is false.
+	RetryAfter clock.Millis
+	// Wait is set when tokens are on their way.
+	Wait *Waiter
+	// Asks are the requests for tokens to send now.
+	Asks []Ask
+}
+
+// Admit takes one token. When there is none it says when to try again, or
+// returns a Waiter while tokens are on their way. Nothing is admitted after
+// the share lease has ended.
+func (l *Limiter) Admit(name string, now clock.Millis) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[name]
-	if b == nil || now >= l.deadline || l.slots == 0 {
-		return false, clock.Second
+	if b == nil || !l.valid(now) {
+		return Decision{RetryAfter: clock.Second}
 	}
 	l.fill(b, now)
-	if b.tokens >= 1 {
+	b.observe(now)
+	l.serve(b)
+	var d Decision
+	if len(b.waiters) == 0 && b.tokens >= 1 {
 		b.tokens--
-		return true, 0
+		d.OK = true
+	} else {
+		d.RetryAfter = clock.Millis((1-b.tokens)/max(b.limit.RatePerSecond*l.part(), 0.01)*1000) + 1
+	}
+	d.Asks = l.asks(name, b, now, d.OK)
+	gain := b.limit.RatePerSecond * l.part() * float64(MaxWait) / 1000
+	if !d.OK && b.tokens+gain+b.pending() >= float64(len(b.waiters)+1) {
+		d.Wait = &Waiter{l: l, b: b, done: make(chan struct{})}
+		b.waiters = append(b.waiters, d.Wait)
 	}
-	wait := (1 - b.tokens) / (b.limit.RatePerSecond * l.part()) * 1000
-	return false, clock.Millis(wait) + 1
+	return d
+}
+
+func (l *Limiter) valid(now clock.Millis) bool {
+	return (now < l.deadline || l.omits(RuleCheckDeadline)) && l.slots > 0
 }
 
 func (l *Limiter) part() float64 { return float64(l.slots) / Slots }
 
 func (l *Limiter) capacity(b *bucket) float64 { return b.limit.Burst * l.part() }
 
+// fill adds the tokens gained since the last call and then forgets loans that
+// have ended. Tokens are gained only while the lease lasts.
 func (l *Limiter) fill(b *bucket, now clock.Millis) {
 	if now <= b.at {
 		return
 	}
 	gained := b.limit.RatePerSecond * l.part() * float64(now-b.at) / 1000
-	b.tokens = min(b.tokens+gained, l.capacity(b))
+	b.tokens = max(0, min(b.tokens+gained, l.room(b)))
 	b.at = now
+	for host, loan := range b.loans {
+		if now >= loan.until {
+			loan.tokens = 0
+			b.loans[host] = loan
+		}
+	}
+}
+
+// demandTime is the time over which demand is smoothed.
+const demandTime = float64(clock.Second)
+
+// observe counts one request.
+func (b *bucket) observe(now clock.Millis) {
+	b.demand = b.demandNow(now) + 1000/demandTime
+	b.demandAt = now
+}
+
+func (b *bucket) demandNow(now clock.Millis) float64 {
+	age := min(1, max(0, float64(now-b.demandAt))/demandTime)
+	return b.demand * (1 - age)
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -167,6 +167,9 @@
 // Snapshot returns the host's view of control state.
 func (h *Host) Snapshot() *snapshotter.Snapshot { return h.controller.Snapshot() }
 
+// Lease returns the host's part of the fleet-wide rates.
+func (h *Host) Lease() controller.Lease { return h.controller.Lease() }
+
 // Meter returns the host's counters.
 func (h *Host) Meter() *meter.Meter { return h.meter }
 
@@ -205,9 +208,10 @@
 	case <-time.After(age + stopMargin):
 	case <-ctx.Done():
 	}
+	handOver := h.controller.HandOver(ctx)
 	err := h.caller.Shutdown(ctx)
 	h.Kill()
-	return errors.Join(err, h.tracing.Shutdown(ctx))
+	return errors.Join(handOver, err, h.tracing.Shutdown(ctx))
 }
 
 // Kill ends the host at once, as a crash would.
@@ -237,8 +241,8 @@
 }
 
 // Borrow implements schema.DRPCPeerServer.
-func (p *peerCore) Borrow(context.Context, *schema.BorrowRequest) (*schema.BorrowResponse, error) {
-	return &schema.BorrowResponse{}, nil
+func (p *peerCore) Borrow(ctx context.Context, req *schema.BorrowRequest) (*schema.BorrowResponse, error) {
+	return p.controller.Borrow(ctx, req)
 }
 
 // Acquire implements schema.DRPCPeerServer.
