Add a simulator with seeded faults and checkers for shares and tokens

Change: pkg/simulator plays fleets in virtual time; a check found that clocks of whole milliseconds let a bucket fill early, so capacity now leaves room.

--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -182,9 +182,12 @@
 func (l *Leaser) owned() []int { return slotsOf(l.ledger, l.index(l.self())) }
 
 func slotsOf(ledger *schema.Ledger, index int) []int {
-	var out []int
+	if index <= 0 {
+		return nil
+	}
+	out := make([]int, 0, Slots)
 	for s, h := range ledger.GetSlotHolders() {
-		if index > 0 && int(h) == index {
+		if int(h) == index {
 			out = append(out, s)
 		}
 	}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -171,7 +171,14 @@
 
 func (l *Limiter) part() float64 { return float64(l.slots) / Slots }
 
-func (l *Limiter) capacity(b *bucket) float64 { return b.limit.Burst * l.part() }
+// clockStep is the part of a second by which a fill may be early, because
+// clocks count whole milliseconds; with room for clocks that run fast.
+const clockStep = 0.002
+
+// capacity leaves room for clockStep, so that rate × time + burst holds exactly.
+func (l *Limiter) capacity(b *bucket) float64 {
+	return max(0, b.limit.Burst-b.limit.RatePerSecond*clockStep) * l.part()
+}
 
 // fill adds the tokens gained since the last call and then forgets loans that
 // have ended. Tokens are gained only while the lease lasts.
--- /dev/null
+++ b/pkg/simulator/schedule_test.go
@@ -0,0 +1,165 @@
+package simulator
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"catkindyke/pkg/limiter"
+)
+
+// TestMain fixes the seed, so that CI gives the same verdict each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const faultKinds = 12
+
+// fault is one entry of a schedule.
+type fault struct {
+	at, length time.Duration
+	kind, host int
+}
+
+func (x fault) String() string {
+	return fmt.Sprintf("{%v, %v, %d, %d}", x.at, x.length, x.kind, x.host)
+}
+
+// schedule is a fleet with its faults. All faults end at faultTime.
+type schedule struct {
+	Config
+	faults []fault
+}
+
+const (
+	faultTime = 60 * time.Second
+	healTime  = 45 * time.Second
+)
+
+// draw returns a number from lo to hi; name is for reports.
+type draw func(name string, lo, hi int) int
+
+func drawSchedule(d draw) schedule {
+	ms := func(name string, lo, hi int) time.Duration { return time.Duration(d(name, lo, hi)) * time.Millisecond }
+	s := schedule{Config: Config{
+		Seed: uint64(d("seed", 0, 1<<30)), Hosts: d("hosts", 2, 5), Regions: d("regions", 1, 2), Drift: 0.01,
+		Limits: map[string]limiter.Limit{"w": {RatePerSecond: 40, Burst: float64(d("burst", 10, 120))}},
+	}}
+	for range d("faults", 1, 8) {
+		s.faults = append(s.faults, fault{
+			at: ms("at", 2000, 50000), length: ms("length", 100, 25000),
+			kind: d("kind", 0, faultKinds-1), host: d("host", 0, 4),
+		})
+	}
+	return s
+}
+
+// seeded returns a draw that depends on the seed only.
+func seeded(seed uint64) draw {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	return func(_ string, lo, hi int) int { return lo + rng.IntN(hi-lo+1) }
+}
+
+// apply starts a fault and plans its end.
+func (x fault) apply(f *Fleet) {
+	h := f.Host(x.host % f.Hosts())
+	end := func(run func()) { f.After(min(x.length, faultTime-f.Now()), run) }
+	switch x.kind {
+	case 0:
+		h.Pause(min(x.length, faultTime-f.Now()))
+	case 1:
+		h.Crash()
+		end(h.Restart)
+	case 2:
+		f.StoreDown = true
+		end(func() { f.StoreDown = false })
+	case 3:
+		f.Cut = func(a, b int) bool { return a != b }
+		end(func() { f.Cut = func(int, int) bool { return false } })
+	case 4:
+		f.CutHost = func(n int) bool { return n == h.n }
+		end(func() { f.CutHost = func(int) bool { return false } })
+	case 5:
+		f.Faults.LoseAnswer = 0.7
+		end(func() { f.Faults.LoseAnswer = 0 })
+	case 6:
+		f.Faults.Drop = 0.4
+		end(func() { f.Faults.Drop = 0 })
+	case 7:
+		f.Faults.Duplicate, f.Faults.Late, f.Faults.LateBy = 0.5, 0.5, 12*time.Second
+		end(func() { f.Faults.Duplicate, f.Faults.Late = 0, 0 })
+	case 8:
+		f.AddHost()
+	case 9:
+		h.Leave()
+		end(h.Restart)
+	case 10:
+		f.Cut = func(a, b int) bool { return a == 0 || b == 0 }
+		end(func() { f.Cut = func(int, int) bool { return false } })
+	case 11:
+		f.Faults.Late, f.Faults.LateBy = 0.6, 300*time.Millisecond
+		end(func() { f.Faults.Late = 0 })
+	}
+}
+
+// run plays a schedule and returns the violations of all checkers.
+func (s schedule) run() []string {
+	f := New(s.Config)
+	for _, x := range s.faults {
+		f.After(x.at, func() { x.apply(f) })
+	}
+	for at := time.Second; at < faultTime+healTime; at += time.Second {
+		n, host := 5+f.Rand().IntN(90), f.Rand().IntN(s.Hosts)
+		f.After(at, func() {
+			for i := range n {
+				f.After(time.Duration(i)*3*time.Millisecond, func() { f.Request(host, "w") })
+			}
+		})
+	}
+	f.Run(faultTime)
+	f.Faults, f.StoreDown = Faults{}, false
+	for _, h := range f.hosts {
+		h.Restart()
+	}
+	f.Run(healTime)
+	if got := f.Usable(); got != limiter.Slots {
+		f.violate("usable_slots: %d of %d usable after all faults ended", got, limiter.Slots)
+	}
+	return f.Violations
+}
+
+// TestSchedules guards against two hosts that use one share slot, against more
+// admissions than rate × time + burst in any interval, and against slots that
+// stay unused after all failures have ended.
+func TestSchedules(t *testing.T) {
+	t.Run("rapid", func(t *testing.T) {
+		t.Parallel()
+		rapid.Check(t, func(t *rapid.T) {
+			d := func(name string, lo, hi int) int { return rapid.IntRange(lo, hi).Draw(t, name) }
+			if v := drawSchedule(d).run(); len(v) > 0 {
+				t.Fatalf("%v", v)
+			}
+		})
+	})
+	for shard := range uint64(shards) {
+		t.Run(fmt.Sprintf("seeds_%d", shard), func(t *testing.T) {
+			t.Parallel()
+			for seed := shard; seed < schedules; seed += shards {
+				s := drawSchedule(seeded(seed))
+				if v := s.run(); len(v) > 0 {
+					t.Fatalf("seed %d: %v\n%+v", seed, v, s)
+				}
+			}
+		})
+	}
+}
+
+const shards = 8
--- /dev/null
+++ b/pkg/simulator/simulator.go
@@ -0,0 +1,230 @@
+// Package simulator runs the leasers and limiters of a fleet in virtual time
+// with seeded faults. Tests and measurements use it; hosts do not.
+package simulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/leaser"
+	"catkindyke/pkg/limiter"
+	"catkindyke/pkg/schema"
+)
+
+// Delays of the two deployments.
+const (
+	zoneDelay   = 500 * time.Microsecond
+	regionDelay = 20 * time.Millisecond
+	beat        = 500 * time.Millisecond
+	pollEvery   = time.Second
+	storeLimit  = 2 * time.Second
+)
+
+// Config configures a fleet.
+type Config struct {
+	Seed    uint64
+	Hosts   int
+	Regions int
+	// StoreRegion is the region that contains the store.
+	StoreRegion int
+	Limits      map[string]limiter.Limit
+	// Drift is the largest deviation of a host's clock speed, such as 0.01.
+	Drift float64
+	// Static gives each host an equal part and lends nothing.
+	Static bool
+	// OmitLease and OmitLoan switch rules off, to test the checkers.
+	OmitLease leaser.Rule
+	OmitLoan  limiter.Rule
+}
+
+// Faults are chances of faults for each message.
+type Faults struct {
+	// Drop, Duplicate and Late are chances for each message.
+	Drop, Duplicate, Late float64
+	// LateBy is the largest extra delay of a late message.
+	LateBy time.Duration
+	// LoseAnswer is the chance that the answer to a store call is lost.
+	LoseAnswer float64
+}
+
+// Fleet is a simulated fleet.
+type Fleet struct {
+	cfg    Config
+	rng    *rand.Rand
+	now    time.Duration
+	queue  events
+	order  uint64
+	hosts  []*Host
+	audits map[string]*audit
+
+	// Faults may be changed at any time.
+	Faults Faults
+	// StoreDown makes the store answer nothing.
+	StoreDown bool
+	// Cut reports whether a region cannot reach another.
+	Cut func(from, to int) bool
+	// CutHost reports whether a host cannot reach anything.
+	CutHost func(host int) bool
+	// Lost are the hosts declared lost.
+	Lost map[string]bool
+	// Violations are the broken rules found by the checkers.
+	Violations []string
+	// Writes counts ledger writes that reached the store.
+	Writes int
+
+	version uint64
+	ledger  *schema.Ledger
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// New returns a fleet whose hosts start within a second.
+func New(cfg Config) *Fleet {
+	f := &Fleet{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), ledger: &schema.Ledger{}, Lost: make(map[string]bool),
+		audits: make(map[string]*audit),
+		Cut:    func(int, int) bool { return false }, CutHost: func(int) bool { return false },
+	}
+	for name, limit := range cfg.Limits {
+		f.audits[name] = newAudit(limit, cfg.Drift)
+	}
+	for range cfg.Hosts {
+		f.AddHost()
+	}
+	return f
+}
+
+// Now returns the virtual time.
+func (f *Fleet) Now() time.Duration { return f.now }
+
+// Rand returns the fleet's source of chance.
+func (f *Fleet) Rand() *rand.Rand { return f.rng }
+
+// Hosts returns the number of hosts ever added.
+func (f *Fleet) Hosts() int { return len(f.hosts) }
+
+// Host returns a host.
+func (f *Fleet) Host(n int) *Host { return f.hosts[n] }
+
+// After runs f later.
+func (f *Fleet) After(d time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, event{f.now + d, f.order, run})
+}
+
+// Run advances the virtual time.
+func (f *Fleet) Run(d time.Duration) {
+	end := f.now + d
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// AddHost adds a host and starts it within a second.
+func (f *Fleet) AddHost() int {
+	n := len(f.hosts)
+	h := &Host{f: f, n: n, name: fmt.Sprintf("h%02d", n), region: n % f.cfg.Regions}
+	h.rate = 1 + f.cfg.Drift*(2*f.rng.Float64()-1)
+	f.hosts = append(f.hosts, h)
+	f.After(time.Duration(f.rng.IntN(int(time.Second))), h.Restart)
+	return n
+}
+
+func (f *Fleet) delay(a, b int) time.Duration {
+	d := zoneDelay
+	if a != b {
+		d = regionDelay
+	}
+	if f.rng.Float64() < f.Faults.Late {
+		d += time.Duration(f.rng.Float64() * float64(f.Faults.LateBy))
+	}
+	return d
+}
+
+// send delivers a message from one host to another, or not.
+func (f *Fleet) send(from, to *Host, run func()) {
+	if f.Cut(from.region, to.region) || f.CutHost(from.n) || f.CutHost(to.n) || f.rng.Float64() < f.Faults.Drop {
+		return
+	}
+	copies := 1
+	if f.rng.Float64() < f.Faults.Duplicate {
+		copies = 2
+	}
+	for range copies {
+		f.After(f.delay(from.region, to.region), func() { to.deliver(to.life, run) })
+	}
+}
+
+// call sends a call to the store; do runs there and its result runs at the host.
+func (f *Fleet) call(h *Host, do func() func()) {
+	if f.Cut(h.region, f.cfg.StoreRegion) || f.CutHost(h.n) {
+		return
+	}
+	life := h.life
+	f.After(f.delay(h.region, f.cfg.StoreRegion), func() {
+		if f.StoreDown {
+			return
+		}
+		back := do()
+		if f.rng.Float64() < f.Faults.LoseAnswer || f.Cut(h.region, f.cfg.StoreRegion) || f.CutHost(h.n) {
+			return
+		}
+		f.After(f.delay(h.region, f.cfg.StoreRegion), func() { h.deliver(life, back) })
+	})
+}
+
+// put writes the ledger conditionally and tells the watches.
+func (f *Fleet) put(w *leaser.Write) (uint64, bool) {
+	f.Writes++
+	if w.IfVersion != f.version {
+		return 0, false
+	}
+	f.version++
+	f.ledger = proto.Clone(w.Ledger).(*schema.Ledger)
+	for _, h := range f.hosts {
+		h.readLedger()
+	}
+	return f.version, true
+}
+
+func (f *Fleet) violate(format string, args ...any) {
+	if len(f.Violations) < 20 {
+		f.Violations = append(f.Violations, fmt.Sprintf("%v: ", f.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+// millis converts a virtual time on a clock of the given rate.
+func millis(t time.Duration, rate float64) clock.Millis {
+	return clock.Millis(float64(t) * rate / float64(time.Millisecond))
+}
--- /dev/null
+++ b/pkg/simulator/traffic.go
@@ -0,0 +1,191 @@
+package simulator
+
+import (
+	"time"
+
+	"catkindyke/pkg/limiter"
+)
+
+// audit compares what a fleet admits with an ideal single token bucket.
+type audit struct {
+	limit limiter.Limit
+	rate  float64
+	// level is a bucket that bounds what may be admitted in any interval.
+	level   float64
+	at      time.Duration
+	ideal   float64
+	idealAt time.Duration
+	// Result is what was counted since the last Reset.
+	Result
+}
+
+// Result counts requests.
+type Result struct {
+	// Sent is the number of requests.
+	Sent int
+	// Within is the number that the ideal bucket admits.
+	Within int
+	// Admitted is the number that the fleet admitted.
+	Admitted int
+	// Wrongful is the number that the ideal bucket admits and the fleet refused.
+	Wrongful int
+	// Over is the number admitted above rate and burst.
+	Over int
+}
+
+func newAudit(limit limiter.Limit, drift float64) *audit {
+	return &audit{limit: limit, rate: limit.RatePerSecond * (1 + drift), level: limit.Burst, ideal: limit.Burst}
+}
+
+// admitted counts an admission and reports whether it is above rate × time + burst for some interval.
+func (a *audit) admitted(now time.Duration) bool {
+	a.level = min(a.limit.Burst, a.level+a.rate*(now-a.at).Seconds())
+	a.at = now
+	a.level--
+	a.Admitted++
+	if a.level < -slack {
+		a.Over++
+		return false
+	}
+	return true
+}
+
+// slack covers rounding of floating point.
+const slack = 1e-6
+
+// within reports whether the ideal bucket admits a request.
+func (a *audit) within(now time.Duration) bool {
+	a.ideal = min(a.limit.Burst, a.ideal+a.limit.RatePerSecond*(now-a.idealAt).Seconds())
+	a.idealAt = now
+	a.Sent++
+	if a.ideal < 1 {
+		return false
+	}
+	a.ideal--
+	a.Within++
+	return true
+}
+
+// request is one that waits for tokens.
+type request struct {
+	wait   *limiter.Waiter
+	bucket string
+	within bool
+	ended  bool
+}
+
+// Request sends one request of a workspace to a host.
+func (f *Fleet) Request(n int, bucket string) {
+	h, a := f.hosts[n], f.audits[bucket]
+	within := a.within(f.now)
+	if !h.Up() {
+		f.refuse(a, within)
+		return
+	}
+	d := h.limiter.Admit(bucket, h.now())
+	h.granted()
+	if !f.cfg.Static {
+		for _, ask := range d.Asks {
+			h.borrow(ask)
+		}
+	}
+	switch {
+	case d.OK:
+		f.admit(h, bucket)
+	case d.Wait != nil && !f.cfg.Static:
+		r := &request{wait: d.Wait, bucket: bucket, within: within}
+		h.waiting = append(h.waiting, r)
+		life := h.life
+		f.After(limiter.MaxWait.Duration(), func() { h.giveUp(r, life) })
+	default:
+		if d.Wait != nil {
+			d.Wait.Cancel(0)
+		}
+		f.refuse(a, within)
+	}
+}
+
+func (f *Fleet) admit(h *Host, bucket string) {
+	if !f.audits[bucket].admitted(f.now) {
+		f.violate("%s admitted by %s above rate and burst (level %.3f)", bucket, h.name, f.audits[bucket].level)
+	}
+}
+
+func (f *Fleet) refuse(a *audit, within bool) {
+	if within {
+		a.Wrongful++
+	}
+}
+
+func (h *Host) giveUp(r *request, life uint64) {
+	if r.ended {
+		return
+	}
+	if life == h.life && h.Up() {
+		r.wait.Cancel(h.now())
+		h.granted()
+	}
+	if !r.ended {
+		r.ended = true
+		h.f.refuse(h.f.audits[r.bucket], r.within)
+	}
+}
+
+// granted counts the waiting requests that have got a token.
+func (h *Host) granted() {
+	left := h.waiting[:0]
+	for _, r := range h.waiting {
+		if r.ended {
+			continue
+		}
+		select {
+		case <-r.wait.Done():
+			r.ended = true
+			h.f.admit(h, r.bucket)
+		default:
+			left = append(left, r)
+		}
+	}
+	h.waiting = left
+}
+
+// borrow carries a request for tokens and its answer.
+func (h *Host) borrow(ask limiter.Ask) {
+	h.after(limiter.AnswerTimeout.Duration(), func() { h.limiter.Failed(ask, h.now()) })
+	var p *Host
+	for _, x := range h.f.hosts {
+		if x.name == ask.Peer {
+			p = x
+		}
+	}
+	life := h.life
+	h.f.send(h, p, func() {
+		tokens := p.limiter.Lend(limiter.Request{Host: h.name, Incarnation: life, Ask: ask}, p.now())
+		h.f.send(p, h, func() {
+			if h.life == life {
+				h.limiter.Credit(ask, tokens, h.now())
+			}
+		})
+	})
+}
+
+// Results returns the counts over all workspaces.
+func (f *Fleet) Results() Result {
+	var sum Result
+	for _, a := range f.audits {
+		sum.Sent += a.Sent
+		sum.Within += a.Within
+		sum.Admitted += a.Admitted
+		sum.Wrongful += a.Wrongful
+		sum.Over += a.Over
+	}
+	return sum
+}
+
+// Reset starts new counts and, for a fair start, an ideal bucket that is full.
+func (f *Fleet) Reset() {
+	for _, a := range f.audits {
+		a.Result = Result{}
+	}
+	f.Writes = 0
+}
