Ask again for tokens while requests wait, and measure rates

Cause: a request waited for one answer only, and a late failure blocked a peer that had answered. Change: Credit returns further requests; _scripts/ratebench prints the table.

--- /dev/null
+++ b/_scripts/ratebench/main.go
@@ -0,0 +1,235 @@
+// Command ratebench measures wrongful refusals and over-admissions of a
+// simulated fleet in virtual time and prints a Markdown table.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"catkindyke/pkg/limiter"
+	"catkindyke/pkg/simulator"
+)
+
+const (
+	hosts   = 8
+	regions = 3
+	warmUp  = 30 * time.Second
+	// standing is the time after which an isolated host refuses keyed requests (design 5.3).
+	standing = 10 * time.Second
+)
+
+// workspaces are eight, a few of them large.
+var workspaces = map[string]limiter.Limit{
+	"w0": {RatePerSecond: 200, Burst: 200}, "w1": {RatePerSecond: 100, Burst: 100},
+	"w2": {RatePerSecond: 20, Burst: 20}, "w3": {RatePerSecond: 20, Burst: 20},
+	"w4": {RatePerSecond: 20, Burst: 20}, "w5": {RatePerSecond: 20, Burst: 20},
+	"w6": {RatePerSecond: 20, Burst: 20}, "w7": {RatePerSecond: 20, Burst: 20},
+}
+
+// bench is one run of one scenario.
+type bench struct {
+	*simulator.Fleet
+	load float64
+	// host picks the host for a request of a workspace.
+	host func(workspace string) int
+	// factor multiplies a workspace's load.
+	factor map[string]float64
+	// leaving and named say which hosts look-ups name.
+	leaving, named map[int]bool
+}
+
+// scenario is a row of the table.
+type scenario struct {
+	name  string
+	time  time.Duration
+	setup func(b *bench)
+}
+
+func (b *bench) anyHost(string) int { return b.Rand().IntN(b.Hosts()) }
+
+// arrivals sends a workspace's requests as a Poisson process.
+func (b *bench) arrivals(workspace string) {
+	rate := workspaces[workspace].RatePerSecond * b.load
+	if x := b.factor[workspace]; x > 0 {
+		rate = workspaces[workspace].RatePerSecond * x
+	}
+	gap := -math.Log(1-b.Rand().Float64()) / rate
+	b.After(time.Duration(gap*float64(time.Second)), func() {
+		b.arrivals(workspace)
+		host := b.host(workspace)
+		// Callers go to the next host when one does not answer.
+		for i := 0; i < b.Hosts() && !b.serves(host); i++ {
+			host = (host + 1) % b.Hosts()
+		}
+		b.Request(host, workspace)
+	})
+}
+
+// serves reports whether look-ups name the host: it is live and not leaving.
+func (b *bench) serves(host int) bool {
+	return b.Host(host).Up() && !b.leaving[host] && b.named[host]
+}
+
+// leave makes a planned stop: look-ups stop naming the host, and it hands over
+// its slots after the look-up age of 5 s plus 2 s.
+func (b *bench) leave(host int) {
+	b.leaving[host] = true
+	b.After(7*time.Second, b.Host(host).Leave)
+}
+
+// nameHosts names a host in look-ups once it has had share slots.
+func (b *bench) nameHosts() {
+	for h := range b.Hosts() {
+		b.named[h] = b.named[h] || b.Host(h).Slots() > 0
+	}
+	b.After(500*time.Millisecond, b.nameHosts)
+}
+
+// awayFrom sends callers of a region's hosts to other regions after a time.
+func (b *bench) awayFrom(region int, after time.Duration) {
+	b.After(after, func() {
+		b.host = func(string) int {
+			for {
+				if h := b.anyHost(""); b.Host(h).Region() != region {
+					return h
+				}
+			}
+		}
+	})
+}
+
+func oneHost(workspace string) int { return int(workspace[1]-'0') % hosts }
+
+func scenarios(hour time.Duration) []scenario {
+	const s = time.Second
+	return []scenario{
+		{"calm", 300 * s, func(*bench) {}},
+		{"each workspace at one host only", 300 * s, func(b *bench) { b.host = oneHost }},
+		{"one workspace at 5 times its rate at one host only", 300 * s, func(b *bench) {
+			b.factor = map[string]float64{"w0": 5}
+			b.host = func(w string) int {
+				if w == "w0" {
+					return 0
+				}
+				return b.anyHost(w)
+			}
+		}},
+		{"a workspace moves from one host to another", 60 * s, func(b *bench) {
+			to := 0
+			b.host = func(w string) int {
+				if w == "w0" {
+					return to
+				}
+				return b.anyHost(w)
+			}
+			b.After(20*s, func() { to = 1 })
+		}},
+		{"a host dies holding tokens", 60 * s, func(b *bench) { b.After(10*s, b.Host(1).Crash) }},
+		{"a host is paused for 20 s and wakes", 60 * s, func(b *bench) { b.After(10*s, func() { b.Host(1).Pause(20 * s) }) }},
+		{"the store is away for an hour", hour, func(b *bench) { b.StoreDown = true }},
+		{"the fleet grows from 8 to 12 and back", 180 * s, func(b *bench) {
+			for i := range 4 {
+				b.After(10*s+time.Duration(i)*5*s, func() { b.AddHost() })
+				b.After(90*s+time.Duration(i)*5*s, func() { b.leave(hosts + i) })
+			}
+		}},
+		{"two regions cannot see each other", 300 * s, func(b *bench) {
+			b.Cut = func(x, y int) bool { return x != y && x+y == 3 }
+		}},
+		{"a region is isolated for an hour", hour, func(b *bench) {
+			b.Cut = func(x, y int) bool { return x != y && (x == 2 || y == 2) }
+			b.awayFrom(2, standing)
+		}},
+		{"the store's region is lost", 300 * s, func(b *bench) {
+			b.StoreDown = true
+			for i := range hosts {
+				if b.Host(i).Region() == 0 {
+					b.Host(i).Crash()
+				}
+			}
+		}},
+		{"the store is down and a host dies", 300 * s, func(b *bench) {
+			b.StoreDown = true
+			b.After(10*s, b.Host(1).Crash)
+		}},
+	}
+}
+
+// cell is the outcome of one run.
+type cell struct {
+	simulator.Result
+	writes     int
+	violations int
+	first      string
+}
+
+func run(sc scenario, load float64, static bool, seed uint64) cell {
+	b := &bench{load: load, leaving: make(map[int]bool), named: make(map[int]bool), Fleet: simulator.New(simulator.Config{
+		Seed: seed, Hosts: hosts, Regions: regions, Limits: workspaces, Drift: 0.0001, Static: static,
+	})}
+	b.host = b.anyHost
+	b.nameHosts()
+	for w := range len(workspaces) {
+		b.After(3*time.Second, func() { b.arrivals(fmt.Sprintf("w%d", w)) })
+	}
+	b.Run(warmUp)
+	b.Reset()
+	sc.setup(b)
+	b.Run(sc.time)
+	c := cell{Result: b.Results(), writes: b.Writes, violations: len(b.Violations)}
+	if c.violations > 0 {
+		c.first = b.Violations[0]
+	}
+	return c
+}
+
+// refused is the share of requests within the rate that were refused. Above
+// the rate, which requests are admitted is arbitrary, so the shortfall counts.
+func (c cell) refused(overload bool) float64 {
+	wrong := c.Wrongful
+	if overload {
+		wrong = max(0, c.Within-c.Admitted)
+	}
+	return 100 * float64(wrong) / float64(max(1, c.Within))
+}
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed")
+	hour := flag.Duration("hour", time.Hour, "length of the scenarios of an hour")
+	parallel := flag.Int("parallel", 4, "scenarios run at once")
+	flag.Parse()
+	columns := []struct {
+		load   float64
+		static bool
+	}{{0.5, false}, {0.5, true}, {0.9, false}, {0.9, true}}
+	rows := scenarios(*hour)
+	cells := make([][4]cell, len(rows))
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, *parallel)
+	for i, sc := range rows {
+		for j, col := range columns {
+			wg.Go(func() {
+				slots <- struct{}{}
+				cells[i][j] = run(sc, col.load, col.static, *seed)
+				<-slots
+			})
+		}
+	}
+	wg.Wait()
+	fmt.Println("| scenario | requests | wrongful at 50 % load | static split | wrongful at 90 % load | static split | over-admissions | ledger writes |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	for i, sc := range rows {
+		c, overload := cells[i], i == 2
+		fmt.Printf("| %s | %d | %.3f %% | %.3f %% | %.3f %% | %.3f %% | %d | %d |\n", sc.name, c[0].Sent+c[2].Sent,
+			c[0].refused(overload), c[1].refused(overload), c[2].refused(overload), c[3].refused(overload),
+			c[0].Over+c[2].Over, c[0].writes)
+		for _, j := range []int{0, 2} {
+			if c[j].violations > 0 {
+				fmt.Printf("VIOLATION in %s: %s\n", sc.name, c[j].first)
+			}
+		}
+	}
+}
--- a/pkg/controller/tokens.go
+++ b/pkg/controller/tokens.go
@@ -50,7 +50,9 @@
 		return
 	}
 	c.cfg.Meter.Add("borrows", 1)
-	c.limiter.Credit(ask, resp.GetTokens(), c.cfg.Clock.Now())
+	for _, next := range c.limiter.Credit(ask, resp.GetTokens(), c.cfg.Clock.Now()) {
+		go c.borrow(next)
+	}
 }
 
 // Borrow lends tokens to a peer.
--- a/pkg/limiter/lending.go
+++ b/pkg/limiter/lending.go
@@ -14,8 +14,8 @@
 	// loanTime is how long a lender keeps room for lent tokens. It exceeds
 	// AnswerTimeout by 25 %, which covers clocks that run at different speeds.
 	loanTime = AnswerTimeout + AnswerTimeout/4
-	// MaxWait bounds the wait for tokens; a round trip between regions takes 41 ms.
-	MaxWait = 60 * clock.Millis(1)
+	// MaxWait bounds the wait for tokens; two round trips between regions take 82 ms.
+	MaxWait = 90 * clock.Millis(1)
 	// askGap is the shortest time between two requests for a bucket to a peer
 	// that had less than was asked.
 	askGap = 50 * clock.Millis(1)
@@ -150,22 +150,23 @@
 }
 
 // Credit adds the tokens of an answer. Tokens above the bucket's room are lost.
-// An answer that is late, repeated or to another request is dropped.
-func (l *Limiter) Credit(a Ask, tokens float64, now clock.Millis) {
+// An answer that is late, repeated or to another request is dropped. It returns
+// further requests to send when there are still waiters.
+func (l *Limiter) Credit(a Ask, tokens float64, now clock.Millis) []Ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[a.Bucket]
 	if b == nil || !(tokens >= 0) {
-		return
+		return nil
 	}
 	tokens = min(tokens, a.Tokens)
 	p := b.peers[a.Peer]
 	if p == nil || (p.sequence != a.Sequence || !p.pending) && !l.omits(RuleCreditOnce) {
-		return
+		return nil
 	}
 	p.pending = false
 	if now-p.sent >= AnswerTimeout && !l.omits(RuleLateAnswer) {
-		return
+		return nil
 	}
 	p.known, p.knownAt, p.tokens = true, now, 0
 	if tokens == a.Tokens {
@@ -173,8 +174,16 @@
 	}
 	l.fill(b, now)
 	if !l.valid(now) {
-		return
+		return nil
+	}
+	l.credit(b, tokens)
+	if len(b.waiters) == 0 {
+		return nil
 	}
+	return l.asks(a.Bucket, b, now, false)
+}
+
+func (l *Limiter) credit(b *bucket, tokens float64) {
 	// Waiters take tokens at once, so that a small capacity does not bound the
 	// tokens moved in each round trip.
 	for tokens > 0 {
@@ -199,7 +208,7 @@
 	if b == nil {
 		return
 	}
-	if p := b.peers[a.Peer]; p != nil && p.sequence == a.Sequence {
+	if p := b.peers[a.Peer]; p != nil && p.pending && p.sequence == a.Sequence {
 		p.pending, p.known, p.tokens, p.knownAt = false, true, 0, now+clock.Second
 	}
 }
