--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -39,7 +39,6 @@
 const (
 	RuleDebitFirst Rule = 1 << iota
 	RulePromiseWait
-	RuleAckWait
 	RuleAckNeeded
 	RuleHoldBlocks
 	RuleRecordWait
--- /dev/null
+++ b/pkg/leaser/leaser_test.go
@@ -0,0 +1,116 @@
+package leaser
+
+import (
+	"testing"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+)
+
+// newPair returns two members of one region that have read the same ledger, h with 60 slots.
+func newPair(omit Rule) (h, r *Leaser) {
+	ledger := &schema.Ledger{
+		Members: []*schema.Member{
+			{Host: "h", Incarnation: 1, Region: "x", Renewals: 1}, {Host: "r", Incarnation: 1, Region: "x", Renewals: 1},
+		},
+		SlotHolders: make([]uint32, Slots),
+	}
+	for s := range Slots {
+		ledger.SlotHolders[s] = uint32(1 + s%2)
+	}
+	h = New(Config{Host: "h", Incarnation: 1, Region: "x", Omit: omit})
+	r = New(Config{Host: "r", Incarnation: 1, Region: "x", Omit: omit})
+	h.LedgerRead(1, ledger, 0)
+	r.LedgerRead(1, ledger, 0)
+	return h, r
+}
+
+// beat sends a heartbeat from h to r and returns it with the promise.
+func beat(h, r *Leaser, seq uint64, contactAge, now clock.Millis) (Heartbeat, schema.PromiseKind) {
+	m := Heartbeat{Host: "h", Incarnation: 1, Sequence: seq, Fields: h.HeartbeatOut("r", seq, now)}
+	p := r.HeartbeatIn(m, contactAge, now)
+	h.ResponseIn(Answer{Host: "r", Incarnation: 1, Sequence: seq, Sent: now, Promise: p}, now)
+	return m, p
+}
+
+const noContact = clock.Second * 60
+
+// reclaims reports whether r takes the slots of h long after the last message.
+func reclaims(r *Leaser, now clock.Millis) bool {
+	r.store = Forever
+	a := r.Tick(Input{Live: map[string]bool{}, Expected: 2}, now)
+	return a.Write != nil && find(a.Write.Ledger, id{"h", 1}) == nil
+}
+
+// TestHoldSurvivesStaleRelease guards against a repeated or late heartbeat, or
+// a late answer, that leaves a host with a hold that its giver has released.
+func TestHoldSurvivesStaleRelease(t *testing.T) {
+	repeated := func(omit Rule) bool {
+		h, r := newPair(omit)
+		first, _ := beat(h, r, 1, noContact, 1000)
+		beat(h, r, 2, noContact, 1500)
+		r.HeartbeatIn(first, 0, 2000)
+		return h.Deadline() == Forever && reclaims(r, 60000)
+	}
+	lateAnswer := func(omit Rule) bool {
+		h, r := newPair(omit)
+		m := Heartbeat{Host: "h", Incarnation: 1, Sequence: 1, Fields: h.HeartbeatOut("r", 1, 1000)}
+		p := r.HeartbeatIn(m, noContact, 1000)
+		r.HeartbeatIn(Heartbeat{Host: "h", Incarnation: 1, Sequence: 2, Fields: h.HeartbeatOut("r", 2, 1500)}, 0, 1500)
+		h.ResponseIn(Answer{Host: "r", Incarnation: 1, Sequence: 1, Sent: 1000, Promise: p}, 1600)
+		return h.Deadline() > 60000 && reclaims(r, 60000)
+	}
+	for name, doubled := range map[string]func(Rule) bool{"repeated": repeated, "late_answer": lateAnswer} {
+		t.Run(name, func(t *testing.T) {
+			if doubled(0) {
+				t.Error("slots reclaimed from a host that relies on a hold")
+			}
+			if !doubled(RuleStaleRelease) {
+				t.Error("the history does not notice that the rule is broken")
+			}
+		})
+	}
+}
+
+// TestNewMemberCapsLease guards against a lease without end that outlasts the
+// time after which a new member of the region may reclaim.
+func TestNewMemberCapsLease(t *testing.T) {
+	deadline := func(omit Rule) clock.Millis {
+		h, r := newPair(omit)
+		beat(h, r, 1, noContact, 1000)
+		ledger := &schema.Ledger{SlotHolders: h.ledger.GetSlotHolders(), Members: append(
+			h.ledger.GetMembers(), &schema.Member{Host: "n", Incarnation: 1, Region: "x", Renewals: 1})}
+		h.LedgerRead(2, ledger, 2000)
+		h.HeartbeatOut("n", 2, 2000)
+		return h.Deadline()
+	}
+	if got := deadline(0); got > 2000+LeaseTime {
+		t.Errorf("lease lasts until %d", got)
+	}
+	if deadline(RuleNewMemberCap) <= 2000+LeaseTime {
+		t.Error("the history does not notice that the rule is broken")
+	}
+}
+
+// TestHoldOutlivesStoreOutage guards against a store outage that stops a host,
+// and against a hold that is never replaced once the store is back.
+func TestHoldOutlivesStoreOutage(t *testing.T) {
+	h, r := newPair(0)
+	if _, p := beat(h, r, 1, noContact, 1000); p != schema.PromiseKind_PROMISE_KIND_HOLD {
+		t.Fatalf("promise %v, want a hold", p)
+	}
+	if slots, until := h.Share(3600 * clock.Second); slots != 60 || until != Forever {
+		t.Errorf("share %d until %d, want 60 for ever", slots, until)
+	}
+	beat(h, r, 2, 0, 5000)
+	if h.Deadline() != 5000+LeaseTime {
+		t.Errorf("lease until %d after the store came back", h.Deadline())
+	}
+	beat(h, r, 3, 0, 5500)
+	if reclaims(r, 5500+ReclaimAfter) {
+		t.Error("reclaimed before the last promise ended")
+	}
+	if !reclaims(r, 5500+ReclaimAfter+1) {
+		t.Error("the slots of a silent host are never reclaimed")
+	}
+}
--- a/pkg/leaser/promise.go
+++ b/pkg/leaser/promise.go
@@ -161,7 +161,9 @@
 	if g.hold && !l.omits(RuleHoldBlocks) {
 		return false
 	}
-	if now-g.firstAck <= ReclaimAfter && !l.omits(RuleAckWait) {
+	// The first acknowledgement is also answered with a promise, so that this
+	// wait is covered by the next one; it stays as a second defence.
+	if now-g.firstAck <= ReclaimAfter {
 		return false
 	}
 	return now-g.promised > ReclaimAfter || l.omits(RulePromiseWait) && !in.Live[m.GetHost()]
--- a/pkg/limiter/lending.go
+++ b/pkg/limiter/lending.go
@@ -26,7 +26,7 @@
 	askPeers = 4
 	// lendPause is the time after an own request in which nothing is lent, so
 	// that two hosts do not borrow back and forth.
-	lendPause = 500 * clock.Millis(1)
+	lendPause = 200 * clock.Millis(1)
 )
 
 // loan is what was lent to a host by its last request for a bucket.
@@ -237,13 +237,19 @@
 			p.pending, p.known, p.tokens, p.knownAt = false, true, 0, now+clock.Second
 		}
 	}
-	want := max(ahead+float64(len(b.waiters))+1, l.room(b)-b.tokens) - b.pending()
-	if want < 1 {
+	waiting := float64(len(b.waiters))
+	if !admitted && b.tokens < waiting+1 {
+		waiting++
+	}
+	// More than the bucket and its waiters can take would be lost on arrival,
+	// and tokens moved without need are missing elsewhere.
+	want := waiting + min(l.room(b), ahead) - b.tokens - b.pending()
+	if want <= 0 || waiting == 0 && want < min(1, l.room(b)/2) {
 		return nil
 	}
 	var out []Ask
 	for _, host := range l.lenders(b, now) {
-		if len(out) == askPeers || want < 1 {
+		if len(out) == askPeers || want <= 0 {
 			break
 		}
 		out = append(out, l.ask(name, b, host, &want, now))
@@ -260,7 +266,7 @@
 	l.sequence++
 	// Half of what is missing goes to one peer, so that one slow or empty peer
 	// does not hold up everything.
-	tokens := max(1, min(*want, max(*want/2, p.tokens)))
+	tokens := min(*want, max(1, *want/2, p.tokens))
 	*want -= tokens
 	p.pending, p.sent, p.asked, p.sequence = true, now, tokens, l.sequence
 	b.borrowed, b.hasBorrowed = now, true
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -165,6 +165,18 @@
 	return d
 }
 
+// Tokens returns the tokens that the host holds of a bucket.
+func (l *Limiter) Tokens(name string, now clock.Millis) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[name]
+	if b == nil || !l.valid(now) {
+		return 0
+	}
+	l.fill(b, now)
+	return b.tokens
+}
+
 func (l *Limiter) valid(now clock.Millis) bool {
 	return (now < l.deadline || l.omits(RuleCheckDeadline)) && l.slots > 0
 }
