Keep leases through a store that fails right after a join

Change: a host also promises to senders that have read a later ledger; a host is ready only after it has held slots.

--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -57,6 +57,8 @@
 	leaser  *leaser.Leaser
 	// readingLedger says that a read of the ledger is under way.
 	readingLedger bool
+	// hasShare says that the host has held share slots.
+	hasShare bool
 	lease         atomic.Pointer[Lease]
 	peers         atomic.Pointer[map[string]string]
 
@@ -195,7 +197,7 @@
 		}
 	}
 	c.input.Hosts = hosts
-	c.input.Ready = c.startup.Ready(c.input.Versions, now)
+	c.input.Ready = c.startup.Ready(c.input.Versions, now) && c.shareReady(now)
 	if c.input.Ready && c.state == schema.HostState_HOST_STATE_STARTING {
 		c.state = schema.HostState_HOST_STATE_LIVE
 		c.cfg.Log.Info().Uint64("version", c.docs.Version(replicator.Config)).Msg("ready")
--- a/pkg/controller/shares.go
+++ b/pkg/controller/shares.go
@@ -50,6 +50,7 @@
 func (c *Controller) applyShare(now clock.Millis) {
 	slots, deadline := c.leaser.Share(now)
 	old := c.Lease()
+	c.hasShare = c.hasShare || slots > 0 && now < deadline
 	c.limiter.SetShare(slots, deadline, now)
 	if old.Slots > 0 && old.Deadline > 0 && now >= old.Deadline && now >= deadline {
 		c.cfg.Log.Warn().Int("slots", old.Slots).Msg("lease_lost")
@@ -61,10 +62,21 @@
 		c.cfg.Log.Info().Str("peer", e.Host).Int("slots", e.Slots).Uint64("version", c.leaser.Version()).Msg(e.Name)
 	}
 	c.cfg.Meter.Set("share_slots", int64(slots))
+	left := int64(-1)
+	if deadline < leaser.Forever {
+		left = int64(max(0, deadline-now))
+	}
+	c.cfg.Meter.Set("lease_left_ms", left)
 	c.cfg.Meter.Set("version_ledger", int64(c.leaser.Version()))
 	c.lease.Store(&Lease{Slots: slots, Deadline: deadline, LedgerVersion: c.leaser.Version()})
 }
 
+// shareReady reports whether the host has held share slots. A host that starts
+// while the store is away gets none and serves what needs no key.
+func (c *Controller) shareReady(now clock.Millis) bool {
+	return c.hasShare || !c.hasContact || now-c.contact > leaser.LeaseTime
+}
+
 func (c *Controller) leaseInput(now clock.Millis) leaser.Input {
 	in := leaser.Input{
 		ContactAge: leaser.Forever, Live: make(map[string]bool), Lost: make(map[string]bool), Expected: 1,
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -114,3 +114,37 @@
 		t.Error("the slots of a silent host are never reclaimed")
 	}
 }
+
+// TestPromiseToUnknownJoiner guards against a member that loses its lease
+// because the store failed before the others could read that it joined.
+func TestPromiseToUnknownJoiner(t *testing.T) {
+	_, r := newPair(0)
+	m := Heartbeat{Host: "n", Incarnation: 1, Sequence: 1, Fields: Fields{LedgerVersion: 2, Acknowledged: 1}}
+	if p := r.HeartbeatIn(m, noContact, 1000); p != schema.PromiseKind_PROMISE_KIND_HOLD {
+		t.Errorf("promise %v to a member of a later ledger, want a hold", p)
+	}
+	m.Host, m.LedgerVersion = "gone", 1
+	if p := r.HeartbeatIn(m, noContact, 1000); p != schema.PromiseKind_PROMISE_KIND_NONE {
+		t.Errorf("promise %v to a host that is not a member, want none", p)
+	}
+}
+
+// TestStoreRenewalBlocksReclaim guards against a reclaim from a host that
+// renews in the store while it cannot reach the members of its region.
+func TestStoreRenewalBlocksReclaim(t *testing.T) {
+	taken := func(omit Rule) bool {
+		h, r := newPair(omit)
+		beat(h, r, 1, 0, 1000)
+		renewed := &schema.Ledger{SlotHolders: r.ledger.GetSlotHolders(), Members: []*schema.Member{
+			{Host: "h", Incarnation: 1, Region: "x", Renewals: 2}, {Host: "r", Incarnation: 1, Region: "x", Renewals: 1},
+		}}
+		r.LedgerRead(2, renewed, 11000)
+		return reclaims(r, 1000+ReclaimAfter+2000)
+	}
+	if taken(0) {
+		t.Error("slots reclaimed from a host that renewed 2 s ago")
+	}
+	if !taken(RuleRecordWait) {
+		t.Error("the history does not notice that the rule is broken")
+	}
+}
--- a/pkg/leaser/promise.go
+++ b/pkg/leaser/promise.go
@@ -75,11 +75,15 @@
 	if l.Member() && h.LedgerVersion >= l.joined && !g.acked {
 		g.acked, g.firstAck = true, now
 	}
-	return l.promise(who, g, contactAge, now)
+	return l.promise(who, g, h.LedgerVersion, contactAge, now)
 }
 
-func (l *Leaser) promise(who id, g *given, contactAge, now clock.Millis) schema.PromiseKind {
-	if l.index(who) == 0 && !l.omits(RuleNoPromiseAfterReclaim) || l.reclaiming(who) {
+// promise gives no promise to a sender that was removed from the ledger. A
+// sender that has read a later ledger may have joined since; every reclaim by
+// this host is known to such a sender or still pending.
+func (l *Leaser) promise(who id, g *given, version uint64, contactAge, now clock.Millis) schema.PromiseKind {
+	removed := l.index(who) == 0 && version <= l.version
+	if removed && !l.omits(RuleNoPromiseAfterReclaim) || l.reclaiming(who) {
 		return schema.PromiseKind_PROMISE_KIND_NONE
 	}
 	g.promised = now
--- /dev/null
+++ b/pkg/runner/shares_test.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/limiter"
+)
+
+// slots returns the share slots that all running hosts hold.
+func (fl *fleet) slots() int {
+	sum := 0
+	for _, h := range fl.hosts {
+		sum += h.Lease().Slots
+	}
+	return sum
+}
+
+func (fl *fleet) allSlotsHeld() bool { return fl.slots() == limiter.Slots }
+
+func (fl *fleet) writes() int64 {
+	sum := int64(0)
+	for _, h := range fl.hosts {
+		sum += h.Store().Writes()
+	}
+	return sum
+}
+
+// TestCalmLeasesNeedNoWrites guards against renewals that load the store.
+func TestCalmLeasesNeedNoWrites(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.waitFor("all slots held", 20*time.Second, fl.allSlotsHeld)
+		time.Sleep(20 * time.Second)
+		before := fl.writes()
+		time.Sleep(10 * time.Minute)
+		if got := fl.writes() - before; got != 0 {
+			t.Errorf("%d ledger writes in ten calm minutes", got)
+		}
+	})
+}
+
+// TestSlotsOfDeadHostReturn guards against share slots that are lost with a host.
+func TestSlotsOfDeadHostReturn(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.waitFor("all slots held", 20*time.Second, fl.allSlotsHeld)
+		fl.kill("host-3")
+		fl.waitFor("slots reclaimed", 20*time.Second, fl.allSlotsHeld)
+	})
+}
+
+// TestPlannedStopHandsOverSlots guards against a planned stop that leaves slots unused.
+func TestPlannedStopHandsOverSlots(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.waitFor("all slots held", 20*time.Second, fl.allSlotsHeld)
+		h := fl.hosts["host-3"]
+		assertNoError(t, h.controller.HandOver(context.Background()), "hand over")
+		fl.kill("host-3")
+		fl.waitFor("slots handed over", 2*time.Second, fl.allSlotsHeld)
+	})
+}
+
+// TestLostAnswersKeepSlots guards against a fleet that does not recover from
+// ledger writes whose answers are lost.
+func TestLostAnswersKeepSlots(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.waitFor("all slots held", 20*time.Second, fl.allSlotsHeld)
+		fl.platform.SetFaults(emulator.Faults{LoseWriteAnswers: 5})
+		fl.kill("host-3")
+		fl.waitFor("slots reclaimed", 40*time.Second, fl.allSlotsHeld)
+	})
+}
