Test lost hosts and successors, and let a planned stop end without the store

Cause: a planned stop in a store outage returned an error. Change: it logs slots_not_handed_over instead; tests of declared losses and of take-over by a new incarnation.

--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -59,8 +59,8 @@
 	readingLedger bool
 	// hasShare says that the host has held share slots.
 	hasShare bool
-	lease         atomic.Pointer[Lease]
-	peers         atomic.Pointer[map[string]string]
+	lease    atomic.Pointer[Lease]
+	peers    atomic.Pointer[map[string]string]
 
 	// The fields below belong to the control goroutine.
 
--- a/pkg/controller/shares.go
+++ b/pkg/controller/shares.go
@@ -217,7 +217,8 @@
 }
 
 // HandOver gives the share slots to other hosts at a planned stop. The host
-// admits nothing afterwards.
+// admits nothing afterwards. While the store is away the slots stay in the
+// host's name, which does not fail the stop.
 func (c *Controller) HandOver(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
@@ -228,6 +229,10 @@
 			c.applyShare(now)
 			member = c.leaser.Member()
 		})
+		if errors.Is(err, context.DeadlineExceeded) {
+			c.cfg.Log.Warn().Msg("slots_not_handed_over")
+			return nil
+		}
 		if err != nil {
 			return err
 		}
--- a/pkg/leaser/leaser_test.go
+++ b/pkg/leaser/leaser_test.go
@@ -148,3 +148,45 @@
 		t.Error("the history does not notice that the rule is broken")
 	}
 }
+
+// TestLostHostIsReclaimed guards against slots that stay with a host that an
+// operator declared lost, and against taking them from one that is heard.
+func TestLostHostIsReclaimed(t *testing.T) {
+	taken := func(lost, live bool) bool {
+		_, r := newPair(0)
+		r.ledger.Members[0].Region = "y"
+		r.store = Forever
+		in := Input{Live: map[string]bool{"h": live}, Lost: map[string]bool{"h": lost}, Expected: 2}
+		a := r.Tick(in, ReclaimAfter+1)
+		return a.Write != nil && find(a.Write.Ledger, id{"h", 1}) == nil
+	}
+	if !taken(true, false) {
+		t.Error("a lost host keeps its slots")
+	}
+	if taken(true, true) || taken(false, false) {
+		t.Error("slots taken from a host that is heard or not declared lost")
+	}
+}
+
+// TestSuccessorTakesOver guards against slots that stay with an earlier
+// incarnation, and against an earlier incarnation that takes them back.
+func TestSuccessorTakesOver(t *testing.T) {
+	h, _ := newPair(0)
+	next := New(Config{Host: "h", Incarnation: 2, Region: "x"})
+	next.LedgerRead(1, h.ledger, 0)
+	a := next.Tick(Input{Expected: 2}, 0)
+	if a.Write == nil || find(a.Write.Ledger, id{"h", 1}) != nil {
+		t.Fatal("the successor does not replace its predecessor")
+	}
+	next.WriteResult(Written, 2, 10)
+	if slots, _ := next.Share(10); slots != 0 {
+		t.Errorf("%d slots usable before tokens lent by the predecessor ended", slots)
+	}
+	if slots, until := next.Share(Quiesce); slots != 60 || until <= Quiesce {
+		t.Errorf("successor has %d slots until %d", slots, until)
+	}
+	h.LedgerRead(2, a.Write.Ledger, 20)
+	if b := h.Tick(Input{Expected: 2}, 20); b.Write != nil || h.Deadline() != 0 {
+		t.Error("the earlier incarnation goes on")
+	}
+}
