--- /dev/null
+++ b/pkg/simulator/mutation_test.go
@@ -0,0 +1,46 @@
+package simulator
+
+import (
+	"strings"
+	"testing"
+
+	"catkindyke/pkg/leaser"
+	"catkindyke/pkg/limiter"
+)
+
+// TestCheckersNotice breaks rules once each (the others are broken in the tests
+// of pkg/leaser and pkg/limiter) and guards against checkers that
+// would let it pass. The seeds are the first that show the fault; the same
+// schedules pass without the mutation.
+func TestCheckersNotice(t *testing.T) {
+	for _, m := range []struct {
+		name, checker string
+		lease         leaser.Rule
+		loan          limiter.Rule
+		seed          uint64
+	}{
+		{name: "debit_first", checker: "usable by", lease: leaser.RuleDebitFirst, seed: 0},
+		{name: "promise_wait", checker: "usable by", lease: leaser.RulePromiseWait, seed: 1},
+		{name: "ack_needed", checker: "usable by", lease: leaser.RuleAckNeeded, seed: 175},
+		{name: "hold_blocks", checker: "usable by", lease: leaser.RuleHoldBlocks, seed: 4},
+		{name: "no_promise_after_reclaim", checker: "usable by", lease: leaser.RuleNoPromiseAfterReclaim, seed: 80},
+		{name: "required_until_read", checker: "usable by", lease: leaser.RuleRequiredUntilRead, seed: 1},
+		{name: "count_from_send", checker: "usable by", lease: leaser.RuleCountFromSend, seed: 94},
+		{name: "stale_read", checker: "usable by", lease: leaser.RuleStaleRead, seed: 2},
+		{name: "unknown_write", checker: "usable by", lease: leaser.RuleUnknownWrite, seed: 208},
+		{name: "credit_once", checker: "above rate", loan: limiter.RuleCreditOnce, seed: 272},
+		{name: "check_deadline", checker: "above rate", loan: limiter.RuleCheckDeadline, seed: 37},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			s := drawSchedule(seeded(m.seed))
+			if v := s.run(); len(v) > 0 {
+				t.Errorf("fault without a mutation: %v", v)
+			}
+			s.OmitLease, s.OmitLoan = m.lease, m.loan
+			if v := s.run(); !strings.Contains(strings.Join(v, "\n"), m.checker) {
+				t.Errorf("no checker noticed that rule %s is broken; violations %v", m.name, v)
+			}
+		})
+	}
+}
