Forward each request at most once and claim idempotency keys

Cause: net/http replays requests on reused connections, refusals derived their outcome from error types, and nothing recorded idempotency keys.

Change: an explicit state machine gives the outcome. Connections count their bytes and are sealed in the GotConn hook, so a second copy cannot leave the host whatever net/http decides. pkg/claimer claims keys by conditional create. Idempotent requests are retried within a budget.

Figures: TestAtMostOnce runs 9 request forms on fresh and reused connections with 100 breaks each; no second copy.

--- /dev/null
+++ b/pkg/claimer/cleaner.go
@@ -0,0 +1,126 @@
+package claimer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"catkindyke/pkg/storeclient"
+)
+
+const (
+	// expiryMargin covers the difference of wall clocks between hosts and
+	// requests that are still under way at the expiry.
+	expiryMargin = time.Hour
+	// shards is the number of parts, by the first two digits of the hash, in
+	// which a workspace's claims are listed, so that a listing stays small.
+	shards = 256
+)
+
+// CleanerConfig configures a cleaner.
+type CleanerConfig struct {
+	// Store is the client of the object API.
+	Store *storeclient.Client
+	// Workspaces returns the workspaces whose claims are cleaned.
+	Workspaces func() []string
+	// MaxObjects bounds the objects examined in one step; 20 when zero. A step
+	// makes one list call, and at most one read and two writes for each object.
+	MaxObjects int
+	// Now returns the wall time; time.Now when nil.
+	Now func() time.Time
+}
+
+// Cleaner removes expired claims, a bounded number in each step.
+type Cleaner struct {
+	cfg   CleanerConfig
+	shard int
+	after string
+	id    string
+}
+
+// NewCleaner returns a cleaner that begins at a shard, so that hosts that
+// start together clean different parts.
+func NewCleaner(cfg CleanerConfig, shard int) *Cleaner {
+	if cfg.MaxObjects == 0 {
+		cfg.MaxObjects = 20
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Cleaner{cfg: cfg, shard: shard, id: rand.Text()}
+}
+
+// Step examines the next claims and returns the number removed.
+func (c *Cleaner) Step(ctx context.Context) (int, error) {
+	// The empty workspace holds the claims of open routes.
+	workspaces := append([]string{"-"}, c.cfg.Workspaces()...)
+	at := c.shard % (shards * len(workspaces))
+	part := fmt.Sprintf("%s%s/%02x", prefix, workspaces[at/shards], at%shards)
+	list, err := c.cfg.Store.List(ctx, part)
+	if err != nil {
+		return 0, err
+	}
+	removed, seen := 0, 0
+	for _, obj := range list {
+		if obj.Name <= c.after {
+			continue
+		}
+		if seen == c.cfg.MaxObjects {
+			return removed, nil
+		}
+		seen++
+		c.after = obj.Name
+		ok, err := c.remove(ctx, obj.Name)
+		if err != nil {
+			return removed, err
+		}
+		if ok {
+			removed++
+		}
+	}
+	c.shard, c.after = at+1, ""
+	return removed, nil
+}
+
+// remove deletes an expired claim in two conditional writes. The first marks
+// the object with the cleaner's identity, so that only one cleaner deletes it:
+// versions start again after a delete, and a second cleaner's late delete could
+// otherwise remove the claim of a new request.
+func (c *Cleaner) remove(ctx context.Context, name string) (bool, error) {
+	obj, err := c.cfg.Store.Get(ctx, name)
+	if err != nil {
+		return false, ignoreRace(err)
+	}
+	var rec record
+	if err := json.Unmarshal(obj.Value, &rec); err != nil {
+		return false, nil
+	}
+	if c.cfg.Now().Add(-expiryMargin).UnixMilli() < rec.ExpiresMs {
+		return false, nil
+	}
+	rec.State, rec.AttemptID = stateExpired, c.id
+	rec.ExpiresMs = c.cfg.Now().UnixMilli()
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return false, err
+	}
+	version, err := c.cfg.Store.Put(ctx, name, value, obj.Version)
+	if err != nil {
+		return false, ignoreRace(err)
+	}
+	if err := c.cfg.Store.Delete(ctx, name, version); err != nil {
+		return false, ignoreRace(err)
+	}
+	return true, nil
+}
+
+// ignoreRace drops the errors that say that someone else was faster.
+func ignoreRace(err error) error {
+	if errors.Is(err, storeclient.ErrConflict) || errors.Is(err, storeclient.ErrNotFound) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/forwarder/answer.go
@@ -0,0 +1,239 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+)
+
+// errForeign says that a connection held bytes before the request was sent, so
+// the answer on it cannot be trusted to be the request's own.
+var errForeign = errors.New("answer bytes came before the request")
+
+// maxDiscard bounds what is read of an answer that is not passed on.
+const maxDiscard = 4 << 10
+
+// copyBuffers hold bodies on their way; one is used for each answer.
+var copyBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
+// Results of a permit. UNUSED says nothing about the server: the caller or a
+// single connection failed. FAILED blames the server.
+const (
+	neutral = schema.PermitResult_PERMIT_RESULT_UNUSED
+	blamed  = schema.PermitResult_PERMIT_RESULT_FAILED
+)
+
+// fail turns an error of the transport into a refusal or a retry.
+func (a *attempt) fail(ctx context.Context, err error) (*Refusal, bool) {
+	x := a.x
+	// Stops any write before the copies are counted.
+	copies := a.flight.fail()
+	a.noteCopies(copies)
+	if copies == 0 {
+		x.life.Unsent()
+	}
+	refusal := a.explain(ctx, err, copies)
+	if a.mayRetry(refusal, copies) {
+		x.life.To(StateAdmitted)
+		return nil, true
+	}
+	refusal.Outcome = x.life.Outcome()
+	if refusal.Outcome == MayHaveRun && !x.repeatable {
+		refusal.RetryAfter = 0
+	}
+	if a.up != nil && a.up.started.Load() && !a.up.done.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	return refusal, false
+}
+
+func (a *attempt) noteCopies(n int) {
+	a.f.cfg.Meter.Add("sent", int64(n))
+}
+
+// explain names the cause of a failed attempt and sets the permit's result.
+func (a *attempt) explain(ctx context.Context, err error, copies int) *Refusal {
+	a.result = neutral
+	cause := context.Cause(ctx)
+	streaming := a.up != nil && !a.up.done.Load()
+	switch {
+	case a.up != nil && a.up.tooLarge.Load():
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large"}
+	case a.x.r.Context().Err() != nil:
+		return &Refusal{Status: statusCallerGone, Reason: "caller_gone"}
+	case errors.Is(cause, errStalled) && streaming && a.up.reading.Load():
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: "upload_stalled", RetryAfter: clock.Second}
+	case errors.Is(cause, errStalled):
+		a.blameSilence(0)
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "backend_silent", RetryAfter: clock.Second}
+	case errors.Is(cause, errDeadline):
+		if !streaming {
+			a.blameSilence(minSilence)
+		}
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline_passed"}
+	case a.up != nil && a.up.failed.Load():
+		return &Refusal{Status: http.StatusBadRequest, Reason: "upload_cut"}
+	case errors.Is(err, errForeign):
+		return &Refusal{Status: http.StatusBadGateway, Reason: "foreign_answer"}
+	case copies == 0:
+		a.result = blamed
+		return &Refusal{Status: http.StatusBadGateway, Reason: "connect_failed", RetryAfter: clock.Second}
+	default:
+		// A reused connection may have been closed by an idle timeout.
+		if !a.flight.reused {
+			a.result = blamed
+		}
+		return &Refusal{Status: http.StatusBadGateway, Reason: "backend_failed", RetryAfter: clock.Second}
+	}
+}
+
+// blameSilence blames the server for a request without an answer if the wait
+// was long enough and other connections were silent too.
+func (a *attempt) blameSilence(least time.Duration) {
+	waited := (a.f.cfg.Clock.Now() - a.sentAt).Duration()
+	least = max(least, 4*clock.Millis(a.x.svc.Config().GetServiceTimeMs()).Duration())
+	if waited >= least && a.f.silence.Silent(a.permit.BackendServer, a.sentAt) {
+		a.result = blamed
+	}
+}
+
+// mayRetry decides about another attempt on another server. A request of which
+// nothing was sent needs no budget: it adds no load to a backend server.
+func (a *attempt) mayRetry(refusal *Refusal, copies int) bool {
+	x := a.x
+	switch {
+	case !slices.Contains([]string{"backend_silent", "foreign_answer", "connect_failed", "backend_failed"}, refusal.Reason):
+		return false
+	case a.up != nil && a.up.started.Load():
+		return false
+	case x.tries >= maxTries || a.f.tooLate(x) || time.Until(x.deadline) <= 0:
+		return false
+	case copies == 0:
+		return true
+	default:
+		return x.repeatable && a.f.budget.Take()
+	}
+}
+
+// answer passes the answer on, or retries when the server refused the request.
+func (a *attempt) answer(ctx context.Context, resp *http.Response) (*Refusal, bool) {
+	x := a.x
+	a.noteCopies(a.flight.copies + 1)
+	a.result = schema.PermitResult_PERMIT_RESULT_OK
+	switch resp.StatusCode {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		a.result = blamed
+	}
+	if resp.StatusCode != http.StatusInternalServerError && a.result == blamed &&
+		a.mayRetry(&Refusal{Reason: "backend_failed"}, 1) {
+		// Reading a short body to its end keeps the connection in use.
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+		x.life.To(StateAdmitted)
+		return nil, true
+	}
+	if reason := badAnswer(x.r, resp); reason != "" {
+		a.result = blamed
+		return &Refusal{http.StatusBadGateway, reason, x.life.Outcome(), 0}, false
+	}
+	x.life.To(StateAnswered)
+	a.answering.Store(true)
+	a.dog.setDeadline(time.Time{})
+	a.dog.touch()
+	a.f.recordClaim(x, resp.StatusCode)
+	x.status = resp.StatusCode
+	a.pass(ctx, resp)
+	return nil, false
+}
+
+// badAnswer names what keeps an answer from being passed on. An answer that ends with
+// the connection cannot be told from one that was cut.
+func badAnswer(r *http.Request, resp *http.Response) string {
+	switch {
+	case resp.StatusCode < http.StatusOK:
+		return "unexpected_upgrade"
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody || r.Method == http.MethodHead:
+		return ""
+	case !slices.Contains(resp.TransferEncoding, "chunked"):
+		return "answer_length_unknown"
+	case !r.ProtoAtLeast(1, 1):
+		// To an HTTP/1.0 caller the end of the connection is the end of the body.
+		return "caller_needs_http_1_1"
+	default:
+		return ""
+	}
+}
+
+// pass copies the answer to the caller. When it cannot be completed, cutting the
+// connection is the only way to keep a short body from looking whole.
+func (a *attempt) pass(ctx context.Context, resp *http.Response) {
+	x := a.x
+	header := x.w.Header()
+	answerHeader(header, resp.Header, a.permit.BackendServer)
+	announced := announcedTrailer(resp.Trailer)
+	for k := range announced {
+		header.Add("Trailer", k)
+	}
+	x.w.WriteHeader(resp.StatusCode)
+	err := a.copyBody(resp)
+	if err == nil {
+		for k := range announced {
+			header[k] = resp.Trailer[k]
+		}
+		return
+	}
+	x.abort = true
+	a.explainCut(ctx, err)
+	a.f.cfg.Meter.Add("answers_cut", 1)
+}
+
+// callerError is an error of the caller's side.
+type callerError struct{ error }
+
+func (a *attempt) copyBody(resp *http.Response) error {
+	buf := copyBuffers.Get().(*[32 << 10]byte)
+	defer copyBuffers.Put(buf)
+	flusher, _ := a.x.w.(http.Flusher)
+	for {
+		n, err := resp.Body.Read(buf[:])
+		a.dog.touch()
+		if n > 0 {
+			if _, err := a.x.w.Write(buf[:n]); err != nil {
+				return callerError{err}
+			}
+			if flusher != nil && resp.ContentLength < 0 {
+				flusher.Flush()
+			}
+			a.dog.touch()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (a *attempt) explainCut(ctx context.Context, err error) {
+	x := a.x
+	var caller callerError
+	switch {
+	case errors.As(err, &caller) && errors.Is(context.Cause(ctx), errStalled):
+		x.reason, a.result = "caller_stalled", neutral
+	case errors.As(err, &caller) || x.r.Context().Err() != nil:
+		x.reason, a.result = "caller_gone", neutral
+	case errors.Is(context.Cause(ctx), errStalled):
+		x.reason, a.result = "answer_stalled", neutral
+		a.blameSilence(0)
+	default:
+		x.reason, a.result = "answer_cut", blamed
+	}
+	x.outcome = MayHaveRun
+}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -4,11 +4,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -18,7 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/claimer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/schema"
@@ -34,6 +30,10 @@
 	WorkspaceHeader = "Catkindyke-Workspace"
 	// ServerHeader names the backend server in an answer.
 	ServerHeader = "Catkindyke-Backend-Server"
+	// IdempotencyKeyHeader carries the caller's key of a request.
+	IdempotencyKeyHeader = "Idempotency-Key"
+	// RecordedHeader marks an answer that holds only the recorded status of an earlier request.
+	RecordedHeader = "Catkindyke-Recorded"
 )
 
 // defaultDeadline is used when neither the request nor the service names one.
@@ -79,37 +79,36 @@
 	Meter *meter.Meter
 	// Tracer makes the spans of each hop.
 	Tracer trace.Tracer
-	// Transport sends requests to backend servers.
+	// Transport sends requests to backend servers; NewTransport makes one.
 	Transport http.RoundTripper
+	// Claims records idempotency keys; requests that need a claim are refused when it is nil.
+	Claims *claimer.Claimer
 }
 
 // Forwarder is the HTTP handler for callers' requests.
 type Forwarder struct {
 	cfg      Config
 	inFlight atomic.Int64
+	budget   RetryBudget
+	silence  *Silence
+	// fresh opens a connection for each request.
+	fresh http.RoundTripper
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	return &Forwarder{cfg: cfg}
+	f := &Forwarder{cfg: cfg, silence: NewSilence(), fresh: cfg.Transport}
+	if t, ok := cfg.Transport.(*http.Transport); ok {
+		fresh := t.Clone()
+		fresh.DisableKeepAlives = true
+		f.fresh = fresh
+	}
+	return f
 }
 
 // InFlight returns the number of requests that are being served.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
-// NewTransport returns the transport to backend servers. It never repeats a
-// request below the forwarder's knowledge, see sendable.
-func NewTransport(connections int) *http.Transport {
-	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
-		MaxIdleConnsPerHost:   connections,
-		MaxConnsPerHost:       connections,
-		IdleConnTimeout:       60 * time.Second,
-		ExpectContinueTimeout: time.Second,
-		DisableCompression:    true,
-	}
-}
-
 // exchange is the state of one request.
 type exchange struct {
 	w         http.ResponseWriter
@@ -122,6 +121,20 @@
 	status    int
 	reason    string
 	outcome   Outcome
+	life      Lifecycle
+	// repeatable says that the configuration allows the request to run twice.
+	repeatable bool
+	// deadline is the time until which the answer must begin; hard says that the
+	// caller named it, so that it is not extended for an upload.
+	deadline time.Time
+	hard     bool
+	// body is the whole body when buffered is set.
+	body     []byte
+	buffered bool
+	claim    *claimer.Claim
+	tries    int
+	// abort says that the connection must be cut because the answer is incomplete.
+	abort bool
 }
 
 // ServeHTTP serves one request.
@@ -130,23 +143,29 @@
 	defer f.inFlight.Add(-1)
 	ctx := tracer.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := f.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
-	defer span.End()
 	x := &exchange{w: w, r: r.WithContext(ctx), start: f.cfg.Clock.Now(), snap: f.cfg.Snapshot()}
+	// Runs also when the connection is aborted by a panic.
+	defer f.finish(x, span)
 	if refusal := f.serve(x); refusal != nil {
 		x.status, x.reason, x.outcome = refusal.Status, refusal.Reason, refusal.Outcome
 		f.cfg.Meter.Add("refused_"+refusal.Reason, 1)
 		refusal.Write(w)
 	}
-	span.SetAttributes(attribute.String("workspace", x.workspace), attribute.Int("status", x.status))
-	f.finish(x, span.SpanContext().TraceID().String())
+	if x.abort {
+		panic(http.ErrAbortHandler)
+	}
 }
 
-func (f *Forwarder) finish(x *exchange, traceID string) {
+func (f *Forwarder) finish(x *exchange, span trace.Span) {
+	span.SetAttributes(attribute.String("workspace", x.workspace), attribute.Int("status", x.status),
+		attribute.String("reason", x.reason), attribute.Int("copies", x.life.Copies()))
+	defer span.End()
 	f.cfg.Meter.Add("requests", 1)
 	f.cfg.Log.Info().Str("method", x.r.Method).Str("path", x.r.URL.Path).
 		Str("workspace", x.workspace).Str("backend_server", x.server).Int("status", x.status).
-		Str("reason", x.reason).Str("outcome", string(x.outcome)).
-		Int64("duration_ms", int64(f.cfg.Clock.Now()-x.start)).Str("trace", traceID).Msg("request")
+		Str("reason", x.reason).Str("outcome", string(x.outcome)).Int("copies", x.life.Copies()).
+		Int64("duration_ms", int64(f.cfg.Clock.Now()-x.start)).
+		Str("trace", span.SpanContext().TraceID().String()).Msg("request")
 }
 
 // serve runs the request through its states and returns a refusal, or nil when
@@ -160,28 +179,54 @@
 	if !ok {
 		return &Refusal{http.StatusNotFound, "unknown_service", NotRun, 0}
 	}
-	x.svc = svc
-	if refusal := f.authorize(x); refusal != nil {
-		return refusal
+	x.svc, x.repeatable = svc, svc.Idempotent(x.r.Method, x.r.URL.Path)
+	for _, step := range []func(*exchange) *Refusal{f.checkRequest, f.authorize, f.admit, f.readBody, f.takeClaim} {
+		if refusal := step(x); refusal != nil {
+			return refusal
+		}
 	}
-	ctx, cancel, refusal := f.withDeadline(x)
-	if refusal != nil {
-		return refusal
+	if x.status != 0 {
+		return nil // answered from a recorded claim
 	}
-	defer cancel()
-	permit, err := f.acquire(ctx, x)
-	if err != nil {
-		refusal := &Refusal{http.StatusServiceUnavailable, "no_capacity", NotRun, clock.Second}
-		if e := (*AcquireError)(nil); errors.As(err, &e) {
-			refusal.Reason, refusal.RetryAfter = e.Reason, e.RetryAfter
-		}
+	refusal := f.sendAll(x)
+	f.settleClaim(x)
+	return refusal
+}
+
+// checkRequest refuses what cannot be forwarded, before it costs anything.
+func (f *Forwarder) checkRequest(x *exchange) *Refusal {
+	if refusal := checkHeader(x.r); refusal != nil {
 		return refusal
 	}
-	x.server = permit.BackendServer
-	return f.send(ctx, x, permit)
+	if limit := x.svc.Config().GetMaxBodyBytes(); limit > 0 && x.r.ContentLength > 0 && uint64(x.r.ContentLength) > limit {
+		return &Refusal{http.StatusRequestEntityTooLarge, "body_too_large", NotRun, 0}
+	}
+	left, ok := parseDeadline(x.r.Header)
+	if !ok {
+		return &Refusal{http.StatusBadRequest, "bad_deadline", NotRun, 0}
+	}
+	usual := clock.Millis(x.svc.Config().GetDeadlineMs())
+	if usual == 0 {
+		usual = defaultDeadline
+	}
+	x.hard = left > 0 && left <= usual
+	if !x.hard {
+		left = usual
+	}
+	x.deadline = time.Now().Add(left.Duration())
+	if f.tooLate(x) {
+		return &Refusal{http.StatusGatewayTimeout, "deadline_too_short", NotRun, 0}
+	}
+	return nil
 }
 
-// authorize checks the key and charges the workspace's rate.
+// tooLate reports whether less time is left than the service usually takes.
+func (f *Forwarder) tooLate(x *exchange) bool {
+	need := clock.Millis(x.svc.Config().GetServiceTimeMs()).Duration()
+	return time.Until(x.deadline) < need
+}
+
+// authorize checks the key against the control state in force now.
 func (f *Forwarder) authorize(x *exchange) *Refusal {
 	if x.svc.Open(x.r.URL.Path) {
 		return nil
@@ -194,112 +239,16 @@
 		return &Refusal{http.StatusServiceUnavailable, "no_standing", NotRun, clock.Second}
 	}
 	x.workspace = workspace
-	if ok, wait := f.cfg.Admit(x.r.Context(), workspace); !ok {
-		return &Refusal{http.StatusTooManyRequests, "rate_limited", NotRun, wait}
-	}
 	return nil
 }
 
-func (f *Forwarder) withDeadline(x *exchange) (context.Context, context.CancelFunc, *Refusal) {
-	left := clock.Millis(x.svc.Config().GetDeadlineMs())
-	if left == 0 {
-		left = defaultDeadline
-	}
-	if v := x.r.Header.Get(DeadlineHeader); v != "" {
-		ms, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || ms <= 0 {
-			return nil, nil, &Refusal{http.StatusBadRequest, "bad_deadline", NotRun, 0}
-		}
-		left = min(left, clock.Millis(ms))
-	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), left.Duration())
-	return ctx, cancel, nil
-}
-
-func (f *Forwarder) acquire(ctx context.Context, x *exchange) (Permit, error) {
-	ctx, span := f.cfg.Tracer.Start(ctx, "acquire")
-	defer span.End()
-	return f.cfg.Acquire(ctx, x.svc, x.workspace, nil)
-}
-
-// send passes the request to the backend server and the answer to the caller.
-func (f *Forwarder) send(ctx context.Context, x *exchange, permit Permit) *Refusal {
-	result := schema.PermitResult_PERMIT_RESULT_FAILED
-	defer func() { permit.Release(result) }()
-	ctx, span := f.cfg.Tracer.Start(ctx, "backend", trace.WithSpanKind(trace.SpanKindClient))
-	defer span.End()
-	resp, err := f.cfg.Transport.RoundTrip(f.outgoing(ctx, x, permit))
-	if err != nil {
-		return f.sendError(ctx, err)
-	}
-	defer resp.Body.Close()
-	x.status = resp.StatusCode
-	copyHeader(x.w.Header(), resp.Header)
-	x.w.Header().Set(ServerHeader, permit.BackendServer)
-	x.w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(x.w, resp.Body); err != nil {
-		// The status is already sent; cutting the connection is the only way to
-		// keep a short body from looking complete.
-		x.reason = "answer_cut"
-		f.cfg.Meter.Add("answers_cut", 1)
-		panic(http.ErrAbortHandler)
-	}
-	result = schema.PermitResult_PERMIT_RESULT_OK
-	return nil
-}
-
-func (f *Forwarder) outgoing(ctx context.Context, x *exchange, permit Permit) *http.Request {
-	out := x.r.Clone(ctx)
-	out.URL.Scheme, out.URL.Host, out.Host = "http", permit.Address, x.r.Host
-	out.RequestURI = ""
-	removeHopByHop(out.Header)
-	authenticator.Strip(out.Header)
-	out.Header.Del(WorkspaceHeader)
+// admit charges the workspace's rate.
+func (f *Forwarder) admit(x *exchange) *Refusal {
 	if x.workspace != "" {
-		out.Header.Set(WorkspaceHeader, x.workspace)
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(DeadlineHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	}
-	tracer.Propagator.Inject(ctx, propagation.HeaderCarrier(out.Header))
-	if x.r.ContentLength == 0 {
-		out.Body = http.NoBody
-	}
-	return out
-}
-
-func (f *Forwarder) sendError(ctx context.Context, err error) *Refusal {
-	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
-		return &Refusal{http.StatusBadGateway, "connect_failed", NotRun, clock.Second}
-	}
-	if ctx.Err() != nil {
-		return &Refusal{http.StatusGatewayTimeout, "deadline_passed", MayHaveRun, 0}
-	}
-	return &Refusal{http.StatusBadGateway, "backend_failed", MayHaveRun, 0}
-}
-
-// hopByHop headers are for one connection only (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func removeHopByHop(h http.Header) {
-	for _, v := range h.Values("Connection") {
-		for name := range strings.SplitSeq(v, ",") {
-			h.Del(strings.TrimSpace(name))
+		if ok, wait := f.cfg.Admit(x.r.Context(), x.workspace); !ok {
+			return &Refusal{http.StatusTooManyRequests, "rate_limited", NotRun, max(wait, 1)}
 		}
 	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
-
-func copyHeader(dst, src http.Header) {
-	src = src.Clone()
-	removeHopByHop(src)
-	for k, v := range src {
-		dst[k] = v
-	}
+	x.life.To(StateAdmitted)
+	return nil
 }
--- /dev/null
+++ b/pkg/forwarder/header.go
@@ -0,0 +1,155 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/clock"
+)
+
+// hopByHop headers are for one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// idempotencyKeyHeaders make net/http replay a request. They are forwarded
+// under a name that is not in canonical form, which is equal on the wire (names
+// are case-insensitive) and not recognized by net/http.
+var idempotencyKeyHeaders = []string{IdempotencyKeyHeader, "X-Idempotency-Key"}
+
+func removeHopByHop(h http.Header) {
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// requestHeader returns the header for a backend server. The result shares the
+// values of the caller's header and never changes them.
+func requestHeader(in http.Header, workspace, peer string, trusted bool) http.Header {
+	out := make(http.Header, len(in)+4)
+	for k, v := range in {
+		out[k] = v[:len(v):len(v)]
+	}
+	removeHopByHop(out)
+	authenticator.Strip(out)
+	for _, name := range []string{WorkspaceHeader, DeadlineHeader, OutcomeHeader, ServerHeader} {
+		out.Del(name)
+	}
+	for _, name := range idempotencyKeyHeaders {
+		if v, ok := out[name]; ok {
+			delete(out, name)
+			out[strings.ToLower(name)] = v
+		}
+	}
+	if workspace != "" {
+		out[WorkspaceHeader] = []string{workspace}
+	}
+	if _, ok := out["User-Agent"]; !ok {
+		out["User-Agent"] = nil // net/http would add its own
+	}
+	setForwardedFor(out, peer, trusted)
+	return out
+}
+
+// setForwardedFor adds the peer's address; addresses before it are kept only
+// when the peer is a trusted proxy.
+func setForwardedFor(h http.Header, peer string, trusted bool) {
+	host, _, err := net.SplitHostPort(peer)
+	if err != nil {
+		host = peer
+	}
+	const name = "X-Forwarded-For"
+	if before := h.Values(name); trusted && len(before) > 0 {
+		host = strings.Join(before, ", ") + ", " + host
+	}
+	h[name] = []string{host}
+}
+
+// trailerAllowed reports whether a trailer field may be passed on.
+func trailerAllowed(name string) bool {
+	switch http.CanonicalHeaderKey(name) {
+	case authenticator.KeyHeader, "Authorization", "Proxy-Authorization", "Content-Length", "Host",
+		"Content-Encoding", "Content-Type", "Content-Range", "Set-Cookie", WorkspaceHeader, DeadlineHeader,
+		OutcomeHeader, ServerHeader:
+		return false
+	}
+	for _, h := range hopByHop {
+		if strings.EqualFold(name, h) {
+			return false
+		}
+	}
+	return true
+}
+
+// announcedTrailer returns the trailer fields that may be passed on, without values.
+func announcedTrailer(in http.Header) http.Header {
+	out := make(http.Header, len(in))
+	for k := range in {
+		if trailerAllowed(k) {
+			out[k] = nil
+		}
+	}
+	return out
+}
+
+// answerHeader writes a backend server's header to the caller's answer.
+func answerHeader(dst, src http.Header, server string) {
+	for k, v := range src {
+		dst[k] = v
+	}
+	for _, v := range src.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			dst.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		dst.Del(name)
+	}
+	// Only catkindyke itself says these.
+	for _, name := range []string{OutcomeHeader, RecordedHeader} {
+		dst.Del(name)
+	}
+	dst[ServerHeader] = []string{server}
+}
+
+// checkHeader refuses requests that cannot be forwarded without a change of meaning.
+func checkHeader(r *http.Request) *Refusal {
+	switch {
+	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
+		return &Refusal{http.StatusNotImplemented, "method_not_supported", NotRun, 0}
+	case r.Header.Get("Upgrade") != "":
+		return &Refusal{http.StatusNotImplemented, "upgrade_not_supported", NotRun, 0}
+	case len(r.Header.Values(IdempotencyKeyHeader)) > 1:
+		return &Refusal{http.StatusBadRequest, "ambiguous_idempotency_key", NotRun, 0}
+	case len(r.Header.Values(DeadlineHeader)) > 1:
+		return &Refusal{http.StatusBadRequest, "bad_deadline", NotRun, 0}
+	}
+	return nil
+}
+
+// parseDeadline reads the caller's deadline; zero when there is none.
+func parseDeadline(h http.Header) (clock.Millis, bool) {
+	v := h.Get(DeadlineHeader)
+	if v == "" {
+		return 0, true
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	// A day is beyond any use and keeps the conversion to nanoseconds in range.
+	return min(clock.Millis(ms), 24*3600*clock.Second), err == nil && ms > 0
+}
+
+// peerAddr returns the address of the connection's other side.
+func peerAddr(remote string) (netip.Addr, bool) {
+	ap, err := netip.ParseAddrPort(remote)
+	return ap.Addr().Unmap(), err == nil
+}
--- /dev/null
+++ b/pkg/forwarder/once_test.go
@@ -0,0 +1,212 @@
+package forwarder
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"catkindyke/pkg/schema"
+)
+
+const marker = "Test-Request-Id: marked"
+
+// failure says where a fake ends the connection of the marked request: after
+// it has read some bytes of the request, or written some of the answer.
+type failure struct {
+	read  int
+	write int
+	reset bool
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+// cutter answers the first requests whole and then applies the failure to every
+// connection that carries the marked request.
+type cutter struct {
+	failure failure
+	warm    bool
+
+	mu     sync.Mutex
+	copies int
+}
+
+func (c *cutter) serve(s *serverSide) {
+	if c.warm && s.number == 1 {
+		if _, _, err := s.readRequest(); err != nil {
+			return
+		}
+		_, _ = io.WriteString(s, wholeAnswer)
+	}
+	c.fail(s)
+}
+
+func (c *cutter) fail(s *serverSide) {
+	end := func() {
+		if c.failure.reset {
+			s.resetNow()
+		} else {
+			_ = s.Close()
+		}
+	}
+	defer end()
+	if c.failure.read == 0 {
+		return
+	}
+	if _, err := s.br.ReadByte(); err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.copies++
+	c.mu.Unlock()
+	_ = s.br.UnreadByte()
+	if c.failure.read > 0 {
+		_, _ = io.CopyN(io.Discard, s.br, int64(c.failure.read))
+		return
+	}
+	if _, _, err := s.readRequest(); err != nil {
+		return
+	}
+	_, _ = io.WriteString(s, wholeAnswer[:c.failure.write])
+}
+
+// unrepeatable lists the forms in which net/http treats requests differently.
+var unrepeatable = map[string]string{
+	"post_body":          request("POST", "/svc/a", "payload", marker),
+	"post_empty":         request("POST", "/svc/a", "", marker, "Content-Length: 0"),
+	"post_x_idempotency": request("POST", "/svc/a", "", marker, "X-Idempotency-Key: k", "Content-Length: 0"),
+	"post_idempotency":   request("POST", "/svc/a", "", marker, "Idempotency-Key: k", "Content-Length: 0"),
+	"body_idempotency":   request("POST", "/svc/a", "payload", marker, "Idempotency-Key: k", "X-Idempotency-Key: k"),
+	"post_chunked":       request("POST", "/svc/a", "", marker, "Transfer-Encoding: chunked") + "3\r\nabc\r\n0\r\n\r\n",
+	"get":                request("GET", "/svc/a", "", marker),
+	"head":               request("HEAD", "/svc/a", "", marker),
+	"delete":             request("DELETE", "/svc/a", "", marker, "X-Idempotency-Key: k"),
+}
+
+func failures() []failure {
+	var list []failure
+	for _, reset := range []bool{false, true} {
+		for _, n := range []int{0, 1, 4, 40, 120, 150} {
+			list = append(list, failure{read: n, reset: reset})
+		}
+		for n := range len(wholeAnswer) + 1 {
+			list = append(list, failure{read: -1, write: n, reset: reset})
+		}
+	}
+	return list
+}
+
+// TestAtMostOnce guards against a second copy of a request that may not be
+// repeated, and against a false not_run, wherever its connection breaks.
+func TestAtMostOnce(t *testing.T) {
+	for name, raw := range unrepeatable {
+		for _, warm := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/reused=%t", name, warm), func(t *testing.T) {
+				for _, fail := range failures() {
+					synctest.Test(t, func(t *testing.T) { testOnce(t, raw, warm, fail) })
+				}
+			})
+		}
+	}
+}
+
+func testOnce(t *testing.T, raw string, warm bool, fail failure) {
+	c := &cutter{failure: fail, warm: warm}
+	fx := newFixture(t, c.serve)
+	defer fx.close()
+	fx.svc.IdempotentMethods = []string{"PUT"}
+	if warm {
+		if got := fx.call(request("POST", "/svc/warm", "x")); got.status != 200 {
+			t.Fatalf("warm-up: %+v", got)
+		}
+		synctest.Wait()
+	}
+	got := fx.call(raw)
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.copies > 1 {
+		t.Fatalf("%+v: %d copies were sent", fail, c.copies)
+	}
+	if c.copies > 0 && got.outcome() == NotRun {
+		t.Errorf("%+v: not_run after bytes were sent", fail)
+	}
+	whole := fail.read < 0 && fail.write == len(wholeAnswer)
+	head := strings.HasPrefix(raw, "HEAD")
+	if whole && !head && (got.status != 200 || got.body != "hello" || got.err != nil) {
+		t.Errorf("%+v: whole answer not passed on: %+v", fail, got)
+	}
+	if !whole && !head && got.status == 200 && got.err == nil {
+		t.Errorf("%+v: a cut answer looks whole: %q", fail, got.body)
+	}
+	if got.status == 0 && got.err == nil {
+		t.Errorf("%+v: no answer", fail)
+	}
+}
+
+// TestGuardWithoutForm guards against a second copy when net/http does take the
+// request for repeatable: the guard at the connection must suffice alone.
+func TestGuardWithoutForm(t *testing.T) {
+	for _, fail := range failures() {
+		synctest.Test(t, func(t *testing.T) {
+			c := &cutter{failure: fail, warm: true}
+			fx := newFixture(t, c.serve)
+			defer fx.close()
+			assertEqual(t, fx.call(request("GET", "/svc/warm", "")).status, 200, "warm-up status")
+			synctest.Wait()
+			// The budget is empty, so a repeatable GET gets no replay either.
+			_ = fx.call(request("GET", "/svc/a", "", marker))
+			synctest.Wait()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.copies > 1 {
+				t.Errorf("%+v: %d copies without a budget", fail, c.copies)
+			}
+		})
+	}
+}
+
+// TestDialFailure guards against may_have_run for a request that never left.
+func TestDialFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, okServe)
+		defer fx.close()
+		fx.dialErr = &net.OpError{Op: "dial", Err: errors.New("refused")}
+		got := fx.call(request("POST", "/svc/a", "x", "Idempotency-Key: k"))
+		assertEqual(t, got.outcome(), NotRun, "outcome")
+		assertEqual(t, got.header.Get("Retry-After"), "1", "Retry-After")
+		if !strings.Contains(got.body, `"error":"connect_failed","outcome":"not_run","retry_after_ms":1000`) {
+			t.Errorf("body %q", got.body)
+		}
+		assertEqual(t, len(fx.excludes), maxTries, "permits used")
+		assertEqual(t, fx.results[0], schema.PermitResult_PERMIT_RESULT_FAILED, "permit result")
+		fx.dialErr = nil
+		assertEqual(t, fx.call(request("POST", "/svc/a", "x", "Idempotency-Key: k")).status, 200, "status after release of the claim")
+		again := fx.call(request("POST", "/svc/a", "x", "Idempotency-Key: k"))
+		assertEqual(t, again.header.Get(RecordedHeader), "true", "recorded marker")
+		assertEqual(t, again.status, 200, "recorded status")
+		assertEqual(t, fx.call(request("POST", "/svc/a", "y", "Idempotency-Key: k")).status, 422, "status for another body")
+	})
+}
+
+// TestLongIdle guards against the use of a connection that was idle for too
+// long by a request that may not be repeated.
+func TestLongIdle(t *testing.T) {
+	for name, raw := range unrepeatable {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, okServe)
+				defer fx.close()
+				fx.svc.IdempotentMethods = []string{"PUT"}
+				assertEqual(t, fx.call(request("POST", "/svc/warm", "x")).status, 200, "warm-up status")
+				wait(provenLive * 2)
+				assertEqual(t, fx.call(raw).status, 200, "status")
+				assertEqual(t, fx.dials, 2, "connections")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/forwarder/send.go
@@ -0,0 +1,239 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/tracer"
+)
+
+const (
+	// maxTries bounds the permits that one request uses.
+	maxTries = 3
+	// defaultProgressTimeout is used when the service names none.
+	defaultProgressTimeout = 10 * clock.Second
+	// minSilence is the shortest wait that says anything about a backend server.
+	minSilence = time.Second
+	// statusCallerGone is logged when the caller has closed its connection; no
+	// standard status exists, and nobody receives it.
+	statusCallerGone = 499
+)
+
+func (f *Forwarder) progressTimeout(x *exchange) time.Duration {
+	ms := clock.Millis(x.svc.Config().GetProgressTimeoutMs())
+	if ms == 0 {
+		ms = defaultProgressTimeout
+	}
+	return ms.Duration()
+}
+
+// sendAll acquires a slot and sends the request, again on another backend
+// server where that is allowed.
+func (f *Forwarder) sendAll(x *exchange) *Refusal {
+	var exclude []string
+	for {
+		x.tries++
+		permit, refusal := f.acquire(x, exclude)
+		if refusal != nil {
+			return refusal
+		}
+		x.server = permit.BackendServer
+		a := &attempt{f: f, x: x, permit: permit}
+		refusal, again := a.run()
+		if !again {
+			return refusal
+		}
+		f.cfg.Meter.Add("retries", 1)
+		exclude = append(exclude, permit.BackendServer)
+	}
+}
+
+// acquire waits for a slot. The key is checked again afterwards, because it may
+// have been withdrawn during the wait.
+func (f *Forwarder) acquire(x *exchange, exclude []string) (Permit, *Refusal) {
+	ctx, span := f.cfg.Tracer.Start(x.r.Context(), "acquire")
+	defer span.End()
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+	defer cancel()
+	permit, err := f.cfg.Acquire(ctx, x.svc, x.workspace, exclude)
+	if err != nil {
+		return permit, f.acquireRefusal(ctx, x, err)
+	}
+	x.life.To(StatePermitted)
+	x.snap = f.cfg.Snapshot()
+	refusal := f.authorize(x)
+	if refusal == nil && f.tooLate(x) {
+		refusal = &Refusal{http.StatusGatewayTimeout, "deadline_too_short", NotRun, 0}
+	}
+	if refusal != nil {
+		permit.Release(schema.PermitResult_PERMIT_RESULT_UNUSED)
+		refusal.Outcome = x.life.Outcome()
+	}
+	return permit, refusal
+}
+
+func (f *Forwarder) acquireRefusal(ctx context.Context, x *exchange, err error) *Refusal {
+	refusal := &Refusal{http.StatusServiceUnavailable, "no_capacity", x.life.Outcome(), clock.Second}
+	if e := (*AcquireError)(nil); errors.As(err, &e) {
+		refusal.Reason, refusal.RetryAfter = e.Reason, max(e.RetryAfter, 1)
+	} else if x.r.Context().Err() != nil {
+		refusal.Status, refusal.Reason = statusCallerGone, "caller_gone"
+	} else if ctx.Err() != nil {
+		refusal.Status, refusal.Reason = http.StatusGatewayTimeout, "deadline_passed"
+	}
+	return refusal
+}
+
+// attempt is one use of a permit.
+type attempt struct {
+	f      *Forwarder
+	x      *exchange
+	permit Permit
+	dog    *watchdog
+	flight flight
+	up     *upload
+	sentAt clock.Millis
+	// answering is set before the first byte of the answer goes to the caller.
+	answering atomic.Bool
+	result    schema.PermitResult
+}
+
+// run sends the request and passes the answer on. It returns a refusal, and
+// whether to try again on another backend server.
+func (a *attempt) run() (*Refusal, bool) {
+	defer func() { a.permit.Release(a.result) }()
+	ctx, span := a.f.cfg.Tracer.Start(a.x.r.Context(), "backend", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	resp, err := a.send(ctx, cancel)
+	defer a.finish()
+	if err != nil {
+		return a.fail(ctx, err)
+	}
+	defer resp.Body.Close()
+	a.f.silence.Answered(a.permit.BackendServer, a.f.cfg.Clock.Now())
+	return a.answer(ctx, resp)
+}
+
+// send makes the request and waits for the answer's header.
+func (a *attempt) send(ctx context.Context, cancel context.CancelCauseFunc) (*http.Response, error) {
+	x, f := a.x, a.f
+	deadline := x.deadline
+	if !x.buffered {
+		if !x.hard {
+			// The time of an upload does not count; what is left now counts from its end.
+			deadline = time.Time{}
+		}
+		a.up = &upload{body: x.r.Body, limit: int64(x.svc.Config().GetMaxBodyBytes())}
+	}
+	a.dog = newWatchdog(f.progressTimeout(x), deadline, func(cause error) {
+		cancel(cause)
+		a.unblock()
+	})
+	a.flight.once, a.flight.replay = !x.repeatable, f.budget.Take
+	if x.life.Copies() == 0 && x.tries == 1 {
+		f.budget.Sent(x.snap.Config().GetSettings().GetRetryBudgetPercent())
+	}
+	out := a.outgoing(ctx)
+	transport := f.cfg.Transport
+	if !x.repeatable && a.up != nil {
+		// A body that cannot be sent again gets a connection that cannot be stale.
+		transport = f.fresh
+	}
+	a.sentAt = f.cfg.Clock.Now()
+	x.life.To(StateSent)
+	resp, err := transport.RoundTrip(out)
+	if err != nil && a.flight.stale && a.flight.fail() == 0 && ctx.Err() == nil {
+		// The idle connection was too old to use, and nothing was written to it.
+		a.flight = flight{once: true, replay: f.budget.Take}
+		resp, err = f.fresh.RoundTrip(a.outgoing(ctx))
+	}
+	if err == nil && a.flight.foreign() {
+		_ = resp.Body.Close()
+		return nil, errForeign
+	}
+	return resp, err
+}
+
+// unblock ends reads and writes on the caller's connection that would keep a
+// cancelled attempt waiting. The watchdog calls it.
+func (a *attempt) unblock() {
+	if a.up != nil && !a.up.done.Load() {
+		unblock(a.x.w)
+	}
+	if a.answering.Load() {
+		_ = http.NewResponseController(a.x.w).SetWriteDeadline(time.Now())
+	}
+}
+
+// finish ends the upload, so that no read of the caller's body outlives the attempt.
+func (a *attempt) finish() {
+	a.dog.stop()
+	if a.up != nil && a.up.started.Load() && !a.up.done.Load() {
+		unblock(a.x.w)
+	}
+}
+
+// outgoing makes the request for the backend server. It has no GetBody, and no
+// header by which net/http would take it for repeatable.
+func (a *attempt) outgoing(ctx context.Context) *http.Request {
+	x := a.x
+	u := *x.r.URL
+	u.Scheme, u.Host = "http", a.permit.Address
+	out := &http.Request{
+		Method: x.r.Method, URL: &u, Host: x.r.Host, ContentLength: x.r.ContentLength,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	out.Header = requestHeader(x.r.Header, x.workspace, x.r.RemoteAddr, a.trusted())
+	left := max(time.Until(x.deadline).Milliseconds(), 1)
+	out.Header[DeadlineHeader] = []string{strconv.FormatInt(left, 10)}
+	tracer.Propagator.Inject(ctx, propagation.HeaderCarrier(out.Header))
+	switch {
+	case a.up != nil:
+		out.Trailer = announcedTrailer(x.r.Trailer)
+		remaining := time.Until(x.deadline)
+		a.up.touch, a.up.ended = a.dog.touch, func() {
+			a.copyTrailer(out)
+			if !x.hard {
+				a.dog.setDeadline(time.Now().Add(remaining))
+			}
+		}
+		out.Body = a.up
+	case len(x.body) > 0:
+		out.Header.Del("Expect")
+		out.Body = io.NopCloser(bytes.NewReader(x.body))
+	case !x.repeatable:
+		// net/http replays GET and HEAD without a body; it does not replay a body
+		// that it cannot rewind, even when that is empty.
+		out.Body = io.NopCloser(bytes.NewReader(nil))
+		if x.r.Method != http.MethodGet && x.r.Method != http.MethodHead && x.r.Method != http.MethodOptions {
+			out.Body = http.NoBody
+		}
+	default:
+		out.Body = http.NoBody
+	}
+	return out.WithContext(a.flight.context(ctx))
+}
+
+func (a *attempt) trusted() bool {
+	addr, ok := peerAddr(a.x.r.RemoteAddr)
+	return ok && a.x.snap.TrustedProxy(addr)
+}
+
+func (a *attempt) copyTrailer(out *http.Request) {
+	for k := range out.Trailer {
+		out.Trailer[k] = a.x.r.Trailer[k]
+	}
+}
--- /dev/null
+++ b/pkg/forwarder/silence.go
@@ -0,0 +1,52 @@
+package forwarder
+
+import (
+	"sync"
+
+	"catkindyke/pkg/clock"
+)
+
+// Silence tells a silent connection from a silent backend server.
+type Silence struct {
+	mu      sync.Mutex
+	servers map[string]*serverRecord
+}
+
+type serverRecord struct {
+	lastAnswer clock.Millis
+	silences   int
+}
+
+// NewSilence returns an empty record.
+func NewSilence() *Silence { return &Silence{servers: make(map[string]*serverRecord)} }
+
+func (s *Silence) record(server string) *serverRecord {
+	r := s.servers[server]
+	if r == nil {
+		r = &serverRecord{lastAnswer: -1}
+		s.servers[server] = r
+	}
+	return r
+}
+
+// Answered records that the server answered on some connection.
+func (s *Silence) Answered(server string, now clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(server)
+	r.lastAnswer, r.silences = now, 0
+}
+
+// Silent records that a request sent at a time got no answer, and reports
+// whether the server itself is to blame: it has not answered on any other
+// connection since, and this is at least the second such request in a row.
+func (s *Silence) Silent(server string, sent clock.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(server)
+	if r.lastAnswer >= sent {
+		return false
+	}
+	r.silences++
+	return r.silences > 1
+}
--- /dev/null
+++ b/pkg/runner/claims.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkindyke/pkg/claimer"
+	"catkindyke/pkg/logger"
+)
+
+// cleanEvery is the time between two cleaning steps of the whole fleet. With at
+// most 20 objects and two writes for each, cleaning makes at most 80 writes a
+// second of the several hundred that the store accepts.
+const cleanEvery = 500 * time.Millisecond
+
+// cleanClaims removes expired claims of idempotency keys.
+func (h *Host) cleanClaims(ctx context.Context) {
+	log := h.cfg.Log.For(logger.Store)
+	// Seeded by the name, so that hosts differ and a test run is repeatable.
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(h.cfg.Name), 0))
+	cleaner := claimer.NewCleaner(claimer.CleanerConfig{Store: h.store, Workspaces: h.workspaces}, rng.IntN(1<<16))
+	for {
+		// Random, so that the hosts do not clean in step.
+		pause := time.Duration(float64(max(len(h.Snapshot().Hosts()), 1)) * float64(cleanEvery) * (0.5 + rng.Float64()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		removed, err := cleaner.Step(ctx)
+		h.meter.Add("claims_removed", int64(removed))
+		if err != nil && ctx.Err() == nil {
+			log.Debug().Err(err).Msg("clean_claims")
+		}
+	}
+}
+
+func (h *Host) workspaces() []string {
+	var names []string
+	for _, w := range h.Snapshot().Config().GetWorkspaces() {
+		names = append(names, w.GetName())
+	}
+	return names
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"catkindyke/pkg/claimer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/controller"
 	"catkindyke/pkg/dialer"
@@ -111,6 +112,7 @@
 		Snapshot: h.controller.Snapshot, Admit: h.controller.Admit, Acquire: h.acquire,
 		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
 		Transport: cfg.BackendTransport,
+		Claims:    claimer.New(claimer.Config{Store: h.store}),
 	})
 	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder}
 	h.caller = newServer(apiserver.Caller(api))
@@ -120,6 +122,7 @@
 		return nil, err
 	}
 	go h.controller.Run(ctx)
+	go h.cleanClaims(ctx)
 	return h, nil
 }
 
