--- a/pkg/forwarder/header.go
+++ b/pkg/forwarder/header.go
@@ -120,6 +120,9 @@
 		dst.Del(name)
 	}
 	dst[ServerHeader] = []string{server}
+	if _, ok := dst["Content-Type"]; !ok {
+		dst["Content-Type"] = nil // net/http would guess one
+	}
 }
 
 // checkHeader refuses requests that cannot be forwarded without a change of meaning.
