--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -66,9 +66,7 @@
 	switch {
 	case a.up != nil && a.up.tooLarge.Load():
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large"}
-	case a.x.r.Context().Err() != nil:
-		return &Refusal{Status: statusCallerGone, Reason: "caller_gone"}
-	case errors.Is(cause, errStalled) && streaming && a.up.reading.Load():
+	case errors.Is(cause, errStalled) && a.callerStalled.Load():
 		return &Refusal{Status: http.StatusRequestTimeout, Reason: "upload_stalled", RetryAfter: clock.Second}
 	case errors.Is(cause, errStalled):
 		a.blameSilence(0)
@@ -78,6 +76,9 @@
 			a.blameSilence(minSilence)
 		}
 		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline_passed"}
+	case a.x.r.Context().Err() != nil:
+		// After the causes above, which end reads from the caller and with them its context.
+		return &Refusal{Status: statusCallerGone, Reason: "caller_gone"}
 	case a.up != nil && a.up.failed.Load():
 		return &Refusal{Status: http.StatusBadRequest, Reason: "upload_cut"}
 	case errors.Is(err, errForeign):
@@ -227,11 +228,11 @@
 	switch {
 	case errors.As(err, &caller) && errors.Is(context.Cause(ctx), errStalled):
 		x.reason, a.result = "caller_stalled", neutral
-	case errors.As(err, &caller) || x.r.Context().Err() != nil:
-		x.reason, a.result = "caller_gone", neutral
 	case errors.Is(context.Cause(ctx), errStalled):
 		x.reason, a.result = "answer_stalled", neutral
 		a.blameSilence(0)
+	case errors.As(err, &caller) || x.r.Context().Err() != nil:
+		x.reason, a.result = "caller_gone", neutral
 	default:
 		x.reason, a.result = "answer_cut", blamed
 	}
--- a/pkg/forwarder/conn.go
+++ b/pkg/forwarder/conn.go
@@ -30,6 +30,9 @@
 // errSealed is returned by writes to a connection that may carry no more bytes.
 var errSealed = errors.New("connection is closed to further requests")
 
+// errReplay ends an attempt that net/http would repeat on its own.
+var errReplay = errors.New("second copy of a request")
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -147,10 +150,11 @@
 
 // flight follows one RoundTrip over the connections that net/http gives it.
 type flight struct {
-	// replay decides whether net/http may send a further copy.
-	replay func() bool
 	// once is set for a request that may not be repeated.
 	once bool
+	// cancel ends the attempt, so that net/http stops looking for a connection
+	// for a copy that the guard refuses; it may be nil.
+	cancel func(error)
 
 	mu      sync.Mutex
 	current *conn
@@ -184,8 +188,11 @@
 	c.begin()
 	t.current, t.reused = c, info.Reused
 	switch {
-	case t.copies > 0 && (t.once || !t.replay()):
+	case t.copies > 0:
 		c.seal()
+		if t.cancel != nil {
+			t.cancel(errReplay)
+		}
 	case t.once && info.WasIdle && info.IdleTime > provenLive:
 		t.stale = true
 		c.seal()
--- a/pkg/forwarder/harness_test.go
+++ b/pkg/forwarder/harness_test.go
@@ -65,6 +65,7 @@
 type serverSide struct {
 	net.Conn
 	number int
+	host   string
 	peer   *fakeConn
 	br     *bufio.Reader
 }
@@ -86,6 +87,24 @@
 	return req, string(body), err
 }
 
+// lockedBuffer collects log lines of several goroutines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // fixture is a forwarder between an in-memory caller and fake backend servers.
 type fixture struct {
 	t         testing.TB
@@ -93,20 +112,21 @@
 	svc       *schema.Service
 	platform  *emulator.Platform
 	meter     *meter.Meter
-	log       bytes.Buffer
+	log       lockedBuffer
 	server    *http.Server
 	listener  *memListener
 	transport *http.Transport
 
-	mu       sync.Mutex
-	serve    func(*serverSide)
-	dials    int
-	dialErr  error
-	conns    []net.Conn
-	results  []schema.PermitResult
-	excludes [][]string
-	open     int
-	keys     *schema.Keys
+	mu         sync.Mutex
+	serve      func(*serverSide)
+	dials      int
+	dialErr    error
+	dialErrFor string
+	conns      []net.Conn
+	results    []schema.PermitResult
+	excludes   [][]string
+	open       int
+	keys       *schema.Keys
 	// duringAcquire runs while a request waits for a slot.
 	duringAcquire func(context.Context) error
 }
@@ -185,17 +205,20 @@
 	}}, nil
 }
 
-func (fx *fixture) dial(context.Context, string, string) (net.Conn, error) {
+func (fx *fixture) dial(_ context.Context, _, address string) (net.Conn, error) {
 	fx.mu.Lock()
 	defer fx.mu.Unlock()
 	if fx.dialErr != nil {
 		return nil, fx.dialErr
 	}
+	if address == fx.dialErrFor {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
 	near, far := net.Pipe()
 	c := &fakeConn{Conn: near}
 	fx.dials++
 	fx.conns = append(fx.conns, near, far)
-	side := &serverSide{Conn: far, number: fx.dials, peer: c, br: bufio.NewReaderSize(far, 16)}
+	side := &serverSide{Conn: far, number: fx.dials, host: address, peer: c, br: bufio.NewReaderSize(far, 16)}
 	go fx.serve(side)
 	return c, nil
 }
--- /dev/null
+++ b/pkg/forwarder/header_test.go
@@ -0,0 +1,205 @@
+package forwarder
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"catkindyke/pkg/authenticator"
+)
+
+// TestRequestHeader guards against headers that must not reach a backend
+// server, and against the loss of those that must.
+func TestRequestHeader(t *testing.T) {
+	in := http.Header{
+		"Connection": {"close, X-One", "x-two , Catkindyke-Workspace"}, "X-One": {"1"}, "X-Two": {"2"}, "X-Three": {"3"},
+		"Keep-Alive": {"5"}, "Te": {"trailers"}, "Transfer-Encoding": {"chunked"}, "Proxy-Connection": {"x"},
+		"Catkindyke-Key": {"secret"}, "Authorization": {"Basic secret"}, "Proxy-Authorization": {"secret"},
+		"Catkindyke-Workspace": {"other"}, "Catkindyke-Outcome": {"not_run"}, "Idempotency-Key": {"k"},
+		"X-Idempotency-Key": {"k2"}, "X-Forwarded-For": {"10.0.0.1"}, "Catkindyke-Deadline-Ms": {"5"},
+	}
+	before := maps.Clone(in)
+	out := requestHeader(in, "ws", "192.0.2.7:4000", false)
+	assertEqual(t, strings.Join(slices.Sorted(maps.Keys(out)), " "),
+		"Catkindyke-Workspace User-Agent X-Forwarded-For X-Three idempotency-key x-idempotency-key", "names")
+	assertEqual(t, out["X-Forwarded-For"][0], "192.0.2.7", "address of an untrusted peer")
+	assertEqual(t, out.Get(WorkspaceHeader), "ws", "workspace")
+	assertEqual(t, len(in), len(before), "fields of the caller's header")
+	out = requestHeader(in, "", "192.0.2.7:4000", true)
+	assertEqual(t, out["X-Forwarded-For"][0], "10.0.0.1, 192.0.2.7", "addresses of a trusted peer")
+	assertEqual(t, out.Get(WorkspaceHeader), "", "workspace of an open route")
+}
+
+// TestKeyNeverForwarded guards against a key that reaches a backend server in
+// any form, on the first attempt or on a retry.
+func TestKeyNeverForwarded(t *testing.T) {
+	for name, raw := range map[string]string{
+		"header":   request("GET", "/svc/a", "", "Proxy-Authorization: Bearer "+testKey),
+		"bearer":   strings.Replace(request("GET", "/svc/a", ""), "Catkindyke-Key: ", "authorization: bearer ", 1),
+		"lower":    strings.Replace(request("GET", "/svc/a", ""), "Catkindyke-Key", "catkindyke-key", 1),
+		"named":    request("GET", "/svc/a", "", "Connection: Catkindyke-Key, close"),
+		"open":     request("GET", "/svc/open/a", "", "Authorization: Basic "+testKey),
+		"trailers": request("PUT", "/svc/a", "", "Trailer: Catkindyke-Key, Proxy-Authorization", "Transfer-Encoding: chunked") + "0\r\nCatkindyke-Key: " + testKey + "\r\nProxy-Authorization: " + testKey + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				seen := make(chan string, 10)
+				fx := newFixture(t, func(s *serverSide) {
+					var b strings.Builder
+					s.br.Reset(io.TeeReader(s.Conn, &b))
+					_, _, err := s.readRequest()
+					if err == nil && s.host != "s0:80" {
+						_, _ = io.WriteString(s, wholeAnswer)
+					}
+					_ = s.Close()
+					seen <- b.String()
+				})
+				defer fx.close()
+				for range 20 {
+					fx.f.budget.Sent(10)
+				}
+				_ = fx.call(raw)
+				synctest.Wait()
+				close(seen)
+				copies := 0
+				for got := range seen {
+					copies++
+					if strings.Contains(got, testKey) {
+						t.Errorf("the key was sent: %q", got)
+					}
+				}
+				if copies == 0 || (name != "trailers" && copies != 2) {
+					t.Errorf("%d copies were seen", copies)
+				}
+			})
+		})
+	}
+}
+
+// TestAmbiguousRequests guards against a request that the backend server could
+// split differently than this host.
+func TestAmbiguousRequests(t *testing.T) {
+	for name, raw := range map[string]string{
+		"two_lengths":    request("POST", "/svc/a", "", "Content-Length: 3", "Content-Length: 4") + "abcd",
+		"bad_length":     request("POST", "/svc/a", "", "Content-Length: +3") + "abc",
+		"two_codings":    request("POST", "/svc/a", "", "Transfer-Encoding: gzip, chunked") + "0\r\n\r\n",
+		"space_in_name":  request("POST", "/svc/a", "", "Content-Length : 3") + "abc",
+		"no_host":        "POST /svc/a HTTP/1.1\r\n\r\n",
+		"two_hosts":      request("GET", "/svc/a", "", "Host: other"),
+		"large_header":   request("GET", "/svc/a", "", "X-Big: "+strings.Repeat("a", 80<<10)),
+		"newline_in_key": "GET /svc/a HTTP/1.1\r\nHost: a\r\nX: a\nb\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, okServe)
+				defer fx.close()
+				got := fx.call(raw)
+				if got.status < 400 || got.status > 501 {
+					t.Errorf("status %d", got.status)
+				}
+				if name == "large_header" {
+					assertEqual(t, got.status, 431, "status")
+				}
+				assertEqual(t, fx.dials, 0, "connections")
+			})
+		})
+	}
+}
+
+// TestFoldedLine guards against a folded header line that is passed on folded:
+// RFC 9112 (section 5.2) wants it refused or joined, and net/http joins it.
+func TestFoldedLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var seen *http.Request
+		fx := newFixture(t, func(s *serverSide) {
+			seen, _, _ = s.readRequest()
+			_, _ = io.WriteString(s, wholeAnswer)
+		})
+		defer fx.close()
+		assertEqual(t, fx.call(request("POST", "/svc/a", "", "X-A: 1", " Content-Length: 3")).status, 200, "status")
+		assertEqual(t, seen.Header.Get("X-A"), "1 Content-Length: 3", "joined line")
+		assertEqual(t, seen.ContentLength, int64(0), "length")
+	})
+}
+
+// TestLengthAndChunked guards against a declared length that is passed on next
+// to the chunked coding, which wins.
+func TestLengthAndChunked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var seen *http.Request
+		var body string
+		fx := newFixture(t, func(s *serverSide) {
+			seen, body, _ = s.readRequest()
+			_, _ = io.WriteString(s, wholeAnswer)
+		})
+		defer fx.close()
+		got := fx.call(request("POST", "/svc/a", "", "Content-Length: 3", "Transfer-Encoding: chunked") + "5\r\nhello\r\n0\r\n\r\n")
+		if got.status == 400 {
+			return // refused is right, too
+		}
+		assertEqual(t, got.status, 200, "status")
+		assertEqual(t, body, "hello", "body")
+		assertEqual(t, seen.Header.Get("Content-Length"), "", "declared length")
+		assertEqual(t, seen.Host, "example", "host")
+	})
+}
+
+// FuzzRequestHeader guards against a header name or value that slips through.
+func FuzzRequestHeader(f *testing.F) {
+	f.Add("Connection", "X-A, Catkindyke-Key", "X-A", "1")
+	f.Add("catkindyke-key", "secret", "Authorization", "Bearer secret")
+	f.Add("Connection", ",, ,X-A;q=1,\tX-B", "x-a", "")
+	f.Add("Idempotency-Key", "k", "IDEMPOTENCY-KEY", "k")
+	f.Add("Connection", "Connection, X-Forwarded-For, Catkindyke-Workspace", "X-Forwarded-For", "1.1.1.1")
+	f.Fuzz(func(t *testing.T, k1, v1, k2, v2 string) {
+		in := make(http.Header)
+		in.Add(k1, v1)
+		in.Add(k2, v2)
+		in.Add(authenticator.KeyHeader, testKey)
+		before := len(in)
+		out := requestHeader(in, "ws", "192.0.2.7:1", false)
+		assertEqual(t, len(in), before, "fields of the caller's header")
+		for name := range out {
+			canonical := http.CanonicalHeaderKey(name)
+			if slices.Contains(hopByHop, canonical) || canonical == "Authorization" || canonical == authenticator.KeyHeader {
+				t.Errorf("%q was passed on", name)
+			}
+			for _, v := range in.Values("Connection") {
+				for named := range strings.SplitSeq(v, ",") {
+					own := name == WorkspaceHeader || name == "X-Forwarded-For" || name == "User-Agent"
+					if http.CanonicalHeaderKey(strings.TrimSpace(named)) == name && !own {
+						t.Errorf("%q is named by Connection and was passed on", name)
+					}
+				}
+			}
+		}
+		if out["Idempotency-Key"] != nil || out["X-Idempotency-Key"] != nil {
+			t.Error("net/http would take the request for repeatable")
+		}
+		assertEqual(t, out.Get(WorkspaceHeader), "ws", "workspace")
+		assertEqual(t, out.Get("X-Forwarded-For"), "192.0.2.7", "forwarded address")
+	})
+}
+
+// FuzzAnswerHeader guards against a backend server that forges the words of catkindyke.
+func FuzzAnswerHeader(f *testing.F) {
+	f.Add("Catkindyke-Outcome", "not_run", "Connection", "X-A")
+	f.Add("Connection", "Content-Length", "Content-Length", "5")
+	f.Add("Connection", "Catkindyke-Backend-Server", "Catkindyke-Recorded", "true")
+	f.Fuzz(func(t *testing.T, k1, v1, k2, v2 string) {
+		in, out := make(http.Header), make(http.Header)
+		in.Add(k1, v1)
+		in.Add(k2, v2)
+		answerHeader(out, in, "s0")
+		for _, name := range append([]string{OutcomeHeader, RecordedHeader}, hopByHop...) {
+			if out[name] != nil {
+				t.Errorf("%q was passed on", name)
+			}
+		}
+		assertEqual(t, out.Get(ServerHeader), "s0", "server")
+	})
+}
--- a/pkg/forwarder/once_test.go
+++ b/pkg/forwarder/once_test.go
@@ -1,14 +1,17 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"catkindyke/pkg/schema"
 )
@@ -148,9 +151,9 @@
 	}
 }
 
-// TestGuardWithoutForm guards against a second copy when net/http does take the
-// request for repeatable: the guard at the connection must suffice alone.
-func TestGuardWithoutForm(t *testing.T) {
+// TestNoHiddenReplay guards against copies of a repeatable request that the
+// retry budget did not pay for.
+func TestNoHiddenReplay(t *testing.T) {
 	for _, fail := range failures() {
 		synctest.Test(t, func(t *testing.T) {
 			c := &cutter{failure: fail, warm: true}
@@ -210,3 +213,38 @@
 		})
 	}
 }
+
+// TestGuard guards against a second copy when net/http does take the request for
+// repeatable: the guard at the connection must suffice alone.
+func TestGuard(t *testing.T) {
+	for _, fail := range failures() {
+		synctest.Test(t, func(t *testing.T) {
+			c := &cutter{failure: fail, warm: true}
+			fx := newFixture(t, c.serve)
+			defer fx.close()
+			assertEqual(t, fx.call(request("GET", "/svc/warm", "")).status, 200, "warm-up status")
+			synctest.Wait()
+			fl := &flight{once: true}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			req, err := http.NewRequestWithContext(fl.context(ctx), http.MethodGet, "http://s0:80/svc/a", nil)
+			assertNoError(t, err, "request")
+			resp, err := fx.transport.RoundTrip(req)
+			if err == nil {
+				_ = resp.Body.Close()
+			} else if copies := fl.fail(); copies == 0 && c.count() > 0 {
+				t.Errorf("%+v: %d copies reported as none", fail, c.count())
+			}
+			synctest.Wait()
+			if c.count() > 1 {
+				t.Errorf("%+v: %d copies were sent", fail, c.count())
+			}
+		})
+	}
+}
+
+func (c *cutter) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies
+}
--- a/pkg/forwarder/send.go
+++ b/pkg/forwarder/send.go
@@ -106,7 +106,9 @@
 	sentAt clock.Millis
 	// answering is set before the first byte of the answer goes to the caller.
 	answering atomic.Bool
-	result    schema.PermitResult
+	// callerStalled says that the watchdog ended a read of the caller's body.
+	callerStalled atomic.Bool
+	result        schema.PermitResult
 }
 
 // run sends the request and passes the answer on. It returns a refusal, and
@@ -139,10 +141,12 @@
 		a.up = &upload{body: x.r.Body, limit: int64(x.svc.Config().GetMaxBodyBytes())}
 	}
 	a.dog = newWatchdog(f.progressTimeout(x), deadline, func(cause error) {
+		// Noted before the read is ended below.
+		a.callerStalled.Store(a.up != nil && a.up.reading.Load())
 		cancel(cause)
 		a.unblock()
 	})
-	a.flight.once, a.flight.replay = !x.repeatable, f.budget.Take
+	a.flight.once, a.flight.cancel = !x.repeatable, cancel
 	if x.life.Copies() == 0 && x.tries == 1 {
 		f.budget.Sent(x.snap.Config().GetSettings().GetRetryBudgetPercent())
 	}
@@ -157,7 +161,7 @@
 	resp, err := transport.RoundTrip(out)
 	if err != nil && a.flight.stale && a.flight.fail() == 0 && ctx.Err() == nil {
 		// The idle connection was too old to use, and nothing was written to it.
-		a.flight = flight{once: true, replay: f.budget.Take}
+		a.flight = flight{once: true, cancel: cancel}
 		resp, err = f.fresh.RoundTrip(a.outgoing(ctx))
 	}
 	if err == nil && a.flight.foreign() {
@@ -214,13 +218,11 @@
 	case len(x.body) > 0:
 		out.Header.Del("Expect")
 		out.Body = io.NopCloser(bytes.NewReader(x.body))
-	case !x.repeatable:
-		// net/http replays GET and HEAD without a body; it does not replay a body
-		// that it cannot rewind, even when that is empty.
+	case !x.repeatable && (x.r.Method == http.MethodGet || x.r.Method == http.MethodHead || x.r.Method == http.MethodOptions):
+		// net/http replays these when they have no body. It does not replay a body
+		// that it cannot rewind, even an empty one. For repeatable requests the
+		// guard at the connection is enough and spares the cost of a body.
 		out.Body = io.NopCloser(bytes.NewReader(nil))
-		if x.r.Method != http.MethodGet && x.r.Method != http.MethodHead && x.r.Method != http.MethodOptions {
-			out.Body = http.NoBody
-		}
 	default:
 		out.Body = http.NoBody
 	}
--- /dev/null
+++ b/pkg/forwarder/upload_test.go
@@ -0,0 +1,347 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"catkindyke/pkg/schema"
+)
+
+// slowCall sends parts of a request with a pause before each, then reads the answer.
+func slowCall(fx *fixture, pause time.Duration, parts ...string) reply {
+	c := fx.connect()
+	defer c.Close()
+	answered := make(chan struct{})
+	defer close(answered)
+	go func() {
+		for _, p := range parts {
+			if _, err := io.WriteString(c, p); err != nil {
+				return
+			}
+			select {
+			case <-time.After(pause):
+			case <-answered:
+			}
+		}
+	}()
+	return readReply(c, false)
+}
+
+// TestStalledUpload guards against an upload that stops and holds its slot.
+func TestStalledUpload(t *testing.T) {
+	for _, tc := range []struct {
+		name, head string
+		outcome    Outcome
+		permits    int
+	}{
+		{"buffered", request("POST", "/svc/a", "", "Content-Length: 100"), NotRun, 0},
+		{"length", request("POST", "/svc/a", "", "Content-Length: 100000"), MayHaveRun, 1},
+		{"chunked", request("POST", "/svc/a", "", "Transfer-Encoding: chunked") + "5\r\nhello\r\n", MayHaveRun, 1},
+		{"repeatable", request("PUT", "/svc/a", "", "Content-Length: 100000"), MayHaveRun, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, okServe)
+				defer fx.close()
+				fx.svc.ProgressTimeoutMs, fx.svc.DeadlineMs = 2000, 60000
+				start := time.Now()
+				got := slowCall(fx, time.Hour, tc.head)
+				assertEqual(t, time.Since(start), 2*time.Second, "time until the refusal")
+				assertEqual(t, got.status, 408, "status")
+				assertEqual(t, got.outcome(), tc.outcome, "outcome")
+				if !strings.Contains(got.body, `"upload_stalled"`) {
+					t.Errorf("body %q", got.body)
+				}
+				synctest.Wait()
+				assertEqual(t, len(fx.results), tc.permits, "permits given back")
+				for _, r := range fx.results {
+					assertEqual(t, r, schema.PermitResult_PERMIT_RESULT_UNUSED, "permit result")
+				}
+			})
+		})
+	}
+}
+
+// TestSlowUpload guards against a total timeout: an upload that makes progress
+// may last longer than the service's deadline, but not than the caller's own.
+func TestSlowUpload(t *testing.T) {
+	for _, tc := range []struct {
+		header string
+		status int
+	}{{"", 200}, {"Catkindyke-Deadline-Ms: 3000\r\n", 504}} {
+		synctest.Test(t, func(t *testing.T) {
+			fx := newFixture(t, okServe)
+			defer fx.close()
+			fx.svc.ProgressTimeoutMs, fx.svc.DeadlineMs = 2000, 4000
+			head := request("POST", "/svc/a", "", "Transfer-Encoding: chunked")
+			parts := []string{strings.Replace(head, "\r\n", "\r\n"+tc.header, 1)}
+			for range 10 {
+				parts = append(parts, "5\r\nhello\r\n")
+			}
+			got := slowCall(fx, 1500*time.Millisecond, append(parts, "0\r\n\r\n")...)
+			assertEqual(t, got.status, tc.status, "status")
+		})
+	}
+}
+
+// TestUploadLimit guards against a body over the limit that does not declare its length.
+func TestUploadLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, okServe)
+		defer fx.close()
+		fx.svc.MaxBodyBytes = 10
+		raw := request("POST", "/svc/a", "", "Transfer-Encoding: chunked") + "b\r\nhello world\r\n0\r\n\r\n"
+		got := fx.call(raw)
+		assertEqual(t, got.status, 413, "status")
+		assertEqual(t, got.outcome(), MayHaveRun, "outcome")
+	})
+}
+
+// TestStalledBackend guards against a backend server that stops reading an
+// upload, or stops in the middle of an answer, and holds the slot.
+func TestStalledBackend(t *testing.T) {
+	for name, tc := range map[string]struct {
+		serve  func(*serverSide)
+		reason string
+	}{
+		"reading": {func(s *serverSide) { _, _ = http.ReadRequest(s.br) }, "backend_silent"},
+		"answering": {func(s *serverSide) {
+			_, _, _ = s.readRequest()
+			_, _ = io.WriteString(s, wholeAnswer[:len(wholeAnswer)-2])
+		}, "answer_stalled"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, tc.serve)
+				fx.svc.ProgressTimeoutMs, fx.svc.DeadlineMs = 2000, 60000
+				start := time.Now()
+				got := fx.call(request("POST", "/svc/a", strings.Repeat("x", 100<<10)))
+				if got.status == 200 && got.err == nil {
+					t.Errorf("looks whole: %+v", got)
+				}
+				assertEqual(t, time.Since(start), 2*time.Second, "time until the end")
+				synctest.Wait()
+				fx.close()
+				if !strings.Contains(fx.log.String(), `"reason":"`+tc.reason+`"`) {
+					t.Errorf("log %s, want %s", fx.log.String(), tc.reason)
+				}
+			})
+		})
+	}
+}
+
+// TestStalledCaller guards against a caller that stops reading its answer and
+// holds a slot for ever.
+func TestStalledCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, func(s *serverSide) {
+			_, _, _ = s.readRequest()
+			_, _ = io.WriteString(s, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 1000000))
+		})
+		fx.svc.ProgressTimeoutMs = 2000
+		c := fx.connect()
+		_, err := io.WriteString(c, request("GET", "/svc/a", ""))
+		assertNoError(t, err, "send")
+		wait(2 * time.Second)
+		synctest.Wait()
+		assertEqual(t, len(fx.results), 1, "permits given back")
+		fx.close()
+		if !strings.Contains(fx.log.String(), `"reason":"caller_stalled"`) {
+			t.Errorf("log %s", fx.log.String())
+		}
+	})
+}
+
+// TestExpectContinue guards against an upload that waits for ever for its go-ahead.
+func TestExpectContinue(t *testing.T) {
+	for _, body := range []string{"hello", strings.Repeat("x", 100<<10)} {
+		synctest.Test(t, func(t *testing.T) {
+			fx := newFixture(t, okServe)
+			defer fx.close()
+			c := fx.connect()
+			defer c.Close()
+			go func() {
+				raw := request("POST", "/svc/a", body, "Expect: 100-continue")
+				_, _ = io.WriteString(c, strings.TrimSuffix(raw, body))
+			}()
+			line := make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))
+			_, err := io.ReadFull(c, line)
+			assertNoError(t, err, "read")
+			assertEqual(t, string(line), "HTTP/1.1 100 Continue\r\n\r\n", "interim answer")
+			go func() { _, _ = io.WriteString(c, body) }()
+			assertEqual(t, readReply(c, false).status, 200, "status")
+		})
+	}
+}
+
+// TestEarlyAnswer guards against a lost answer, or a held slot, when the backend
+// server answers before the upload has ended.
+func TestEarlyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, func(s *serverSide) {
+			_, _ = http.ReadRequest(s.br)
+			_, _ = io.WriteString(s, "HTTP/1.1 403 Forbidden\r\nContent-Length: 2\r\n\r\nno")
+		})
+		defer fx.close()
+		got := slowCall(fx, time.Hour, request("POST", "/svc/a", "", "Content-Length: 100000"))
+		assertEqual(t, got.status, 403, "status")
+		assertEqual(t, got.body, "no", "body")
+		synctest.Wait()
+		assertEqual(t, len(fx.results), 1, "permits given back")
+	})
+}
+
+// TestSilentConnection guards against a connection that stays silent for good
+// and keeps being used, and against a server that is blamed for it.
+func TestSilentConnection(t *testing.T) {
+	for _, tc := range []struct {
+		method string
+		status int
+	}{{"PUT", 200}, {"POST", 504}} {
+		synctest.Test(t, func(t *testing.T) {
+			fx := newFixture(t, func(s *serverSide) {
+				if s.number != 1 {
+					okServe(s)
+					return
+				}
+				if _, _, err := s.readRequest(); err == nil {
+					_, _ = io.WriteString(s, wholeAnswer)
+				}
+				_, _ = io.Copy(io.Discard, s) // reads, and never answers again
+			})
+			defer fx.close()
+			fx.svc.ProgressTimeoutMs, fx.svc.DeadlineMs = 2000, 30000
+			for range 20 {
+				fx.f.budget.Sent(10)
+			}
+			assertEqual(t, fx.call(request("PUT", "/svc/a", "x")).status, 200, "warm-up status")
+			wait(time.Second)
+			start := time.Now()
+			got := fx.call(request(tc.method, "/svc/a", "x", marker))
+			assertEqual(t, got.status, tc.status, "status on the silent connection")
+			assertEqual(t, time.Since(start), 2*time.Second, "time until detection")
+			assertEqual(t, fx.results[1], schema.PermitResult_PERMIT_RESULT_UNUSED, "permit result")
+			start = time.Now()
+			assertEqual(t, fx.call(request(tc.method, "/svc/a", "x")).status, 200, "status afterwards")
+			assertEqual(t, time.Since(start), 0, "time afterwards")
+		})
+	}
+}
+
+// TestSilentServer guards against a server that is silent on every connection and is not blamed.
+func TestSilentServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, func(s *serverSide) { _, _ = io.Copy(io.Discard, s) })
+		defer fx.close()
+		fx.svc.ProgressTimeoutMs, fx.svc.DeadlineMs = 2000, 30000
+		for range 2 {
+			assertEqual(t, fx.call(request("POST", "/svc/a", "x")).outcome(), MayHaveRun, "outcome")
+		}
+		assertEqual(t, fx.results[0], schema.PermitResult_PERMIT_RESULT_UNUSED, "first result")
+		assertEqual(t, fx.results[1], schema.PermitResult_PERMIT_RESULT_FAILED, "second result")
+	})
+}
+
+// TestDeadlinePassed guards against a wait beyond the deadline for an answer's
+// first byte, and against a false not_run.
+func TestDeadlinePassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var left string
+		var mu sync.Mutex
+		fx := newFixture(t, func(s *serverSide) {
+			req, _, err := s.readRequest()
+			if err == nil {
+				mu.Lock()
+				left = req.Header.Get(DeadlineHeader)
+				mu.Unlock()
+			}
+			_, _ = io.Copy(io.Discard, s)
+		})
+		defer fx.close()
+		start := time.Now()
+		got := fx.call(request("GET", "/svc/a", "", "Catkindyke-Deadline-Ms: 700"))
+		assertEqual(t, time.Since(start), 700*time.Millisecond, "time")
+		assertEqual(t, got.status, 504, "status")
+		assertEqual(t, got.outcome(), MayHaveRun, "outcome")
+		mu.Lock()
+		defer mu.Unlock()
+		assertEqual(t, left, "700", "time passed on")
+	})
+}
+
+// TestAmplification guards against a retry storm when a third of the servers fail.
+func TestAmplification(t *testing.T) {
+	for _, kind := range []string{"status", "close", "dial"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const requests = 3000
+				answered := failThird(t, kind, requests)
+				t.Logf("%s: %d of %d answered", kind, answered, requests)
+			})
+		})
+	}
+}
+
+func failThird(t *testing.T, kind string, requests int) (answered int) {
+	var mu sync.Mutex
+	sent := 0
+	fx := newFixture(t, nil)
+	defer fx.close()
+	fx.serve = func(s *serverSide) {
+		for {
+			req, _, err := s.readRequest()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			sent++
+			mu.Unlock()
+			answer := wholeAnswer
+			if failing := strings.HasPrefix(req.URL.Path, "/svc/fail") && req.Header.Get("Fail-First") == s.host; failing {
+				if kind == "close" {
+					_ = s.Close()
+					return
+				}
+				answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = io.WriteString(s, answer)
+		}
+	}
+	for n := range requests {
+		// A third of the first choices is a failing server, and a third of the second.
+		path, host := "/svc/ok", "none"
+		if n%3 == 0 {
+			path, host = "/svc/fail", "s0:80"
+			if n%9 == 0 {
+				host = "s1:80"
+			}
+		}
+		fx.mu.Lock()
+		fx.dialErrFor = ""
+		if kind == "dial" && host != "none" {
+			fx.dialErrFor = host
+		}
+		fx.mu.Unlock()
+		if kind == "dial" {
+			fx.transport.CloseIdleConnections()
+		}
+		if fx.call(request("GET", path, "", fmt.Sprintf("Fail-First: %s", host))).status == 200 {
+			answered++
+		}
+		synctest.Wait()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	t.Logf("%s: amplification %.3f, retries %d", kind, float64(sent)/float64(requests), fx.meter.Get("retries"))
+	if sent*10 > requests*11 {
+		t.Errorf("%d sent for %d received, want at most 1.1", sent, requests)
+	}
+	assertEqual(t, fx.meter.Get("sent"), int64(sent), "copies counted")
+	return answered
+}
