Use one watchdog for the slot and the answer; test the authenticator

Cause: waiting for a slot had a timer and a context of its own, and the forms of keys had no tests.

Change: the attempt's watchdog also ends the wait for a slot. The emulated backend server looks for keys in Proxy-Authorization and trailers too.

--- a/pkg/emulator/backend.go
+++ b/pkg/emulator/backend.go
@@ -66,9 +66,12 @@
 		return
 	}
 	b.requests.Add(1)
-	if r.Header.Get("Catkindyke-Key") != "" || r.Header.Get("Authorization") != "" {
-		b.keysSeen.Add(1)
-	}
+	defer func() {
+		// The trailers are known only after the body.
+		if carriesKey(r.Header) || carriesKey(r.Trailer) {
+			b.keysSeen.Add(1)
+		}
+	}()
 	n := b.inUse.Add(1)
 	defer b.inUse.Add(-1)
 	b.notePeak(n)
@@ -107,6 +110,16 @@
 	_, _ = w.Write(out)
 }
 
+// carriesKey reports whether a header or trailer has a field that can carry a key.
+func carriesKey(h http.Header) bool {
+	for _, name := range []string{"Catkindyke-Key", "Authorization", "Proxy-Authorization"} {
+		if len(h.Values(name)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Backend) notePeak(n int64) {
 	for {
 		peak := b.peak.Load()
--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -48,7 +48,7 @@
 	if refusal.Outcome == MayHaveRun && !x.repeatable {
 		refusal.RetryAfter = 0
 	}
-	if a.up != nil && a.up.started.Load() && !a.up.done.Load() {
+	if up := a.up.Load(); up != nil && up.started.Load() && !up.done.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 	return refusal, false
@@ -62,9 +62,10 @@
 func (a *attempt) explain(ctx context.Context, err error, copies int) *Refusal {
 	a.result = neutral
 	cause := context.Cause(ctx)
-	streaming := a.up != nil && !a.up.done.Load()
+	up := a.up.Load()
+	streaming := up != nil && !up.done.Load()
 	switch {
-	case a.up != nil && a.up.tooLarge.Load():
+	case up != nil && up.tooLarge.Load():
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large"}
 	case errors.Is(cause, errStalled) && a.callerStalled.Load():
 		return &Refusal{Status: http.StatusRequestTimeout, Reason: "upload_stalled", RetryAfter: clock.Second}
@@ -79,7 +80,7 @@
 	case a.x.r.Context().Err() != nil:
 		// After the causes above, which end reads from the caller and with them its context.
 		return &Refusal{Status: statusCallerGone, Reason: "caller_gone"}
-	case a.up != nil && a.up.failed.Load():
+	case up != nil && up.failed.Load():
 		return &Refusal{Status: http.StatusBadRequest, Reason: "upload_cut"}
 	case errors.Is(err, errForeign):
 		return &Refusal{Status: http.StatusBadGateway, Reason: "foreign_answer"}
@@ -108,11 +109,11 @@
 // mayRetry decides about another attempt on another server. A request of which
 // nothing was sent needs no budget: it adds no load to a backend server.
 func (a *attempt) mayRetry(refusal *Refusal, copies int) bool {
-	x := a.x
+	x, up := a.x, a.up.Load()
 	switch {
 	case !slices.Contains([]string{"backend_silent", "foreign_answer", "connect_failed", "backend_failed"}, refusal.Reason):
 		return false
-	case a.up != nil && a.up.started.Load():
+	case up != nil && up.started.Load():
 		return false
 	case x.tries >= maxTries || a.f.tooLate(x) || time.Until(x.deadline) <= 0:
 		return false
--- a/pkg/forwarder/progress.go
+++ b/pkg/forwarder/progress.go
@@ -26,37 +26,58 @@
 	mu       sync.Mutex
 	deadline time.Time
 	timer    *time.Timer
-	stopped  bool
+	// due is when the timer fires.
+	due     time.Time
+	stopped bool
 }
 
-// newWatchdog starts a watchdog; a zero deadline is none. cancel is never
-// called after stop has returned.
+// newWatchdog starts a watchdog; a zero deadline or timeout is none, but one of
+// them is needed. cancel is never called after stop has returned.
 func newWatchdog(timeout time.Duration, deadline time.Time, cancel func(error)) *watchdog {
 	w := &watchdog{start: time.Now(), timeout: timeout, deadline: deadline, cancel: cancel}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.next(w.start), w.check)
+	left := w.next(w.start)
+	w.due = w.start.Add(left)
+	w.timer = time.AfterFunc(left, w.check)
 	return w
 }
 
+// arm sets the timer; w.mu is held.
+func (w *watchdog) arm(now time.Time, left time.Duration) {
+	w.due = now.Add(left)
+	w.timer.Reset(left)
+}
+
 // touch records progress. It only stores a time; the timer looks at it when it fires.
 func (w *watchdog) touch() { w.last.Store(int64(time.Since(w.start))) }
 
+// watch replaces the timeout and the deadline.
+func (w *watchdog) watch(timeout time.Duration, deadline time.Time) {
+	w.touch()
+	w.mu.Lock()
+	w.timeout = timeout
+	w.mu.Unlock()
+	w.setDeadline(deadline)
+}
+
 // setDeadline replaces the deadline; a zero time removes it.
 func (w *watchdog) setDeadline(t time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.deadline = t
-	if !w.stopped {
-		w.timer.Reset(w.next(time.Now()))
+	now := time.Now()
+	// A timer that fires too early starts again, which is rarer than this call.
+	if left := w.next(now); !w.stopped && now.Add(left).Before(w.due) {
+		w.arm(now, left)
 	}
 }
 
 // next returns the time until something can be due; w.mu is held.
 func (w *watchdog) next(now time.Time) time.Duration {
 	left := w.timeout - (now.Sub(w.start) - time.Duration(w.last.Load()))
-	if !w.deadline.IsZero() {
-		left = min(left, w.deadline.Sub(now))
+	if !w.deadline.IsZero() && (w.timeout == 0 || w.deadline.Sub(now) < left) {
+		left = w.deadline.Sub(now)
 	}
 	return max(left, 0)
 }
@@ -69,7 +90,7 @@
 	switch {
 	case w.stopped:
 	case left > 0:
-		w.timer.Reset(left)
+		w.arm(now, left)
 	case !w.deadline.IsZero() && !now.Before(w.deadline):
 		w.stopped = true
 		w.cancel(errDeadline)
--- a/pkg/forwarder/send.go
+++ b/pkg/forwarder/send.go
@@ -44,29 +44,41 @@
 	var exclude []string
 	for {
 		x.tries++
-		permit, refusal := f.acquire(x, exclude)
-		if refusal != nil {
-			return refusal
-		}
-		x.server = permit.BackendServer
-		a := &attempt{f: f, x: x, permit: permit}
-		refusal, again := a.run()
+		a := &attempt{f: f, x: x}
+		refusal, again := a.try(exclude)
 		if !again {
 			return refusal
 		}
 		f.cfg.Meter.Add("retries", 1)
-		exclude = append(exclude, permit.BackendServer)
+		exclude = append(exclude, a.permit.BackendServer)
+	}
+}
+
+// acquireContext ends at the request's deadline. The attempt's watchdog ends it,
+// which spares a timer of its own.
+type acquireContext struct {
+	context.Context
+	deadline time.Time
+}
+
+// Deadline returns the request's deadline.
+func (c acquireContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// Err returns the usual error when the deadline has passed.
+func (c acquireContext) Err() error {
+	err := c.Context.Err()
+	if err != nil && errors.Is(context.Cause(c.Context), errDeadline) {
+		return context.DeadlineExceeded
 	}
+	return err
 }
 
 // acquire waits for a slot. The key is checked again afterwards, because it may
 // have been withdrawn during the wait.
-func (f *Forwarder) acquire(x *exchange, exclude []string) (Permit, *Refusal) {
-	ctx, span := f.cfg.Tracer.Start(x.r.Context(), "acquire")
+func (f *Forwarder) acquire(ctx context.Context, x *exchange, exclude []string) (Permit, *Refusal) {
+	ctx, span := f.cfg.Tracer.Start(ctx, "acquire")
 	defer span.End()
-	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
-	defer cancel()
-	permit, err := f.cfg.Acquire(ctx, x.svc, x.workspace, exclude)
+	permit, err := f.cfg.Acquire(acquireContext{ctx, x.deadline}, x.svc, x.workspace, exclude)
 	if err != nil {
 		return permit, f.acquireRefusal(ctx, x, err)
 	}
@@ -100,9 +112,10 @@
 	f      *Forwarder
 	x      *exchange
 	permit Permit
+	cancel func(error)
 	dog    *watchdog
 	flight flight
-	up     *upload
+	up     atomic.Pointer[upload]
 	sentAt clock.Millis
 	// answering is set before the first byte of the answer goes to the caller.
 	answering atomic.Bool
@@ -111,15 +124,42 @@
 	result        schema.PermitResult
 }
 
-// run sends the request and passes the answer on. It returns a refusal, and
-// whether to try again on another backend server.
-func (a *attempt) run() (*Refusal, bool) {
+// try acquires a slot and uses it. It returns a refusal, and whether to try
+// again on another backend server.
+func (a *attempt) try(exclude []string) (*Refusal, bool) {
+	ctx, cancel := context.WithCancelCause(a.x.r.Context())
+	defer cancel(nil)
+	a.cancel, a.flight.cancel = cancel, cancel
+	a.dog = newWatchdog(0, a.x.deadline, a.stop)
+	defer a.finish()
+	permit, refusal := a.f.acquire(ctx, a.x, exclude)
+	if refusal != nil {
+		return refusal, false
+	}
+	a.permit, a.x.server = permit, permit.BackendServer
+	return a.run(ctx)
+}
+
+// stop ends the attempt; the watchdog calls it.
+func (a *attempt) stop(cause error) {
+	// Noted before the read is ended below.
+	up := a.up.Load()
+	a.callerStalled.Store(up != nil && up.reading.Load())
+	a.cancel(cause)
+	if up != nil && !up.done.Load() {
+		unblock(a.x.w)
+	}
+	if a.answering.Load() {
+		_ = http.NewResponseController(a.x.w).SetWriteDeadline(time.Now())
+	}
+}
+
+// run sends the request and passes the answer on.
+func (a *attempt) run(ctx context.Context) (*Refusal, bool) {
 	defer func() { a.permit.Release(a.result) }()
-	ctx, span := a.f.cfg.Tracer.Start(a.x.r.Context(), "backend", trace.WithSpanKind(trace.SpanKindClient))
+	ctx, span := a.f.cfg.Tracer.Start(ctx, "backend", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	resp, err := a.send(ctx, cancel)
+	resp, err := a.send(ctx)
 	defer a.finish()
 	if err != nil {
 		return a.fail(ctx, err)
@@ -130,7 +170,7 @@
 }
 
 // send makes the request and waits for the answer's header.
-func (a *attempt) send(ctx context.Context, cancel context.CancelCauseFunc) (*http.Response, error) {
+func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	x, f := a.x, a.f
 	deadline := x.deadline
 	if !x.buffered {
@@ -138,21 +178,16 @@
 			// The time of an upload does not count; what is left now counts from its end.
 			deadline = time.Time{}
 		}
-		a.up = &upload{body: x.r.Body, limit: int64(x.svc.Config().GetMaxBodyBytes())}
-	}
-	a.dog = newWatchdog(f.progressTimeout(x), deadline, func(cause error) {
-		// Noted before the read is ended below.
-		a.callerStalled.Store(a.up != nil && a.up.reading.Load())
-		cancel(cause)
-		a.unblock()
-	})
-	a.flight.once, a.flight.cancel = !x.repeatable, cancel
+		a.up.Store(&upload{body: x.r.Body, limit: int64(x.svc.Config().GetMaxBodyBytes())})
+	}
+	a.dog.watch(f.progressTimeout(x), deadline)
+	a.flight.once = !x.repeatable
 	if x.life.Copies() == 0 && x.tries == 1 {
 		f.budget.Sent(x.snap.Config().GetSettings().GetRetryBudgetPercent())
 	}
 	out := a.outgoing(ctx)
 	transport := f.cfg.Transport
-	if !x.repeatable && a.up != nil {
+	if !x.repeatable && !x.buffered {
 		// A body that cannot be sent again gets a connection that cannot be stale.
 		transport = f.fresh
 	}
@@ -161,7 +196,7 @@
 	resp, err := transport.RoundTrip(out)
 	if err != nil && a.flight.stale && a.flight.fail() == 0 && ctx.Err() == nil {
 		// The idle connection was too old to use, and nothing was written to it.
-		a.flight = flight{once: true, cancel: cancel}
+		a.flight = flight{once: true, cancel: a.cancel}
 		resp, err = f.fresh.RoundTrip(a.outgoing(ctx))
 	}
 	if err == nil && a.flight.foreign() {
@@ -171,21 +206,10 @@
 	return resp, err
 }
 
-// unblock ends reads and writes on the caller's connection that would keep a
-// cancelled attempt waiting. The watchdog calls it.
-func (a *attempt) unblock() {
-	if a.up != nil && !a.up.done.Load() {
-		unblock(a.x.w)
-	}
-	if a.answering.Load() {
-		_ = http.NewResponseController(a.x.w).SetWriteDeadline(time.Now())
-	}
-}
-
 // finish ends the upload, so that no read of the caller's body outlives the attempt.
 func (a *attempt) finish() {
 	a.dog.stop()
-	if a.up != nil && a.up.started.Load() && !a.up.done.Load() {
+	if up := a.up.Load(); up != nil && up.started.Load() && !up.done.Load() {
 		unblock(a.x.w)
 	}
 }
@@ -205,16 +229,17 @@
 	out.Header[DeadlineHeader] = []string{strconv.FormatInt(left, 10)}
 	tracer.Propagator.Inject(ctx, propagation.HeaderCarrier(out.Header))
 	switch {
-	case a.up != nil:
+	case !x.buffered:
+		up := a.up.Load()
 		out.Trailer = announcedTrailer(x.r.Trailer)
 		remaining := time.Until(x.deadline)
-		a.up.touch, a.up.ended = a.dog.touch, func() {
+		up.touch, up.ended = a.dog.touch, func() {
 			a.copyTrailer(out)
 			if !x.hard {
 				a.dog.setDeadline(time.Now().Add(remaining))
 			}
 		}
-		out.Body = a.up
+		out.Body = up
 	case len(x.body) > 0:
 		out.Header.Del("Expect")
 		out.Body = io.NopCloser(bytes.NewReader(x.body))
