Count a request as sent when its connection cannot be followed

Cause: with a transport other than net/http's, which the fleet tests use, a failed request was taken for unsent: a false not_run and a second copy.

Change: only a dial error proves that such a request was not sent. The check for answers that end with the connection looks at Response.Close, which net/http sets exactly then, and no longer refuses in-memory answers.

--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -35,6 +36,9 @@
 	x := a.x
 	// Stops any write before the copies are counted.
 	copies := a.flight.fail()
+	if dial := (*net.OpError)(nil); a.f.opaque && !(errors.As(err, &dial) && dial.Op == "dial") {
+		copies = max(copies, 1)
+	}
 	a.noteCopies(copies)
 	if copies == 0 {
 		x.life.Unsent()
@@ -162,7 +166,8 @@
 		return "unexpected_upgrade"
 	case resp.ContentLength >= 0 || resp.Body == http.NoBody || r.Method == http.MethodHead:
 		return ""
-	case !slices.Contains(resp.TransferEncoding, "chunked"):
+	case resp.Close && !slices.Contains(resp.TransferEncoding, "chunked"):
+		// net/http sets Close on every answer that ends with its connection.
 		return "answer_length_unknown"
 	case !r.ProtoAtLeast(1, 1):
 		// To an HTTP/1.0 caller the end of the connection is the end of the body.
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -93,15 +93,18 @@
 	silence  *Silence
 	// fresh opens a connection for each request.
 	fresh http.RoundTripper
+	// opaque says that the transport does not tell which connections it uses, so
+	// that a failed request counts as sent.
+	opaque bool
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, silence: NewSilence(), fresh: cfg.Transport}
+	f := &Forwarder{cfg: cfg, silence: NewSilence(), fresh: cfg.Transport, opaque: true}
 	if t, ok := cfg.Transport.(*http.Transport); ok {
 		fresh := t.Clone()
 		fresh.DisableKeepAlives = true
-		f.fresh = fresh
+		f.fresh, f.opaque = fresh, false
 	}
 	return f
 }
--- a/pkg/forwarder/once_test.go
+++ b/pkg/forwarder/once_test.go
@@ -248,3 +248,40 @@
 	defer c.mu.Unlock()
 	return c.copies
 }
+
+// failingTransport fails without telling whether it has sent anything.
+type failingTransport struct {
+	err   error
+	calls int
+}
+
+func (f *failingTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	f.calls++
+	return nil, f.err
+}
+
+// TestOpaqueTransport guards against a false not_run, and against a second copy,
+// when the transport's connections cannot be followed.
+func TestOpaqueTransport(t *testing.T) {
+	for _, tc := range []struct {
+		err     error
+		outcome Outcome
+		calls   int
+	}{
+		{io.ErrUnexpectedEOF, MayHaveRun, 1},
+		{&net.OpError{Op: "read", Err: io.EOF}, MayHaveRun, 1},
+		{&net.OpError{Op: "dial", Err: io.EOF}, NotRun, maxTries},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fx := newFixture(t, okServe)
+			defer fx.close()
+			transport := &failingTransport{err: tc.err}
+			cfg := fx.f.cfg
+			cfg.Transport = transport
+			fx.f = New(cfg)
+			fx.server.Handler = fx.f
+			assertEqual(t, fx.call(request("POST", "/svc/a", "x")).outcome(), tc.outcome, "outcome")
+			assertEqual(t, transport.calls, tc.calls, "calls")
+		})
+	}
+}
