Leave half of the deadline for another server when one stays silent

Cause: a deadline of 5 s passed before the progress timeout of 10 s, so a repeatable request on a silent connection was never sent to another server.

Change: a repeatable request waits for the first byte for at most half of its time, if that is ten times the usual service time and the budget has a retry.

Figures (virtual time, TestSilenceWithinDeadline): with a deadline of 5 s the answer begins after 2.5 s; without a budget, for slow services and for requests that may not be repeated the deadline applies as before.

Conclusion: one silent connection no longer uses up the deadline.

--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -150,8 +150,7 @@
 	}
 	x.life.To(StateAnswered)
 	a.answering.Store(true)
-	a.dog.setDeadline(time.Time{})
-	a.dog.touch()
+	a.dog.watch(a.f.progressTimeout(x), time.Time{})
 	a.f.recordClaim(x, resp.StatusCode)
 	x.status = resp.StatusCode
 	a.pass(ctx, resp)
--- a/pkg/forwarder/budget.go
+++ b/pkg/forwarder/budget.go
@@ -40,3 +40,10 @@
 	b.credit -= retryCost
 	return true
 }
+
+// Ready reports whether the budget allows a retry now, without paying for it.
+func (b *RetryBudget) Ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.credit >= retryCost
+}
--- a/pkg/forwarder/send.go
+++ b/pkg/forwarder/send.go
@@ -24,6 +24,9 @@
 	maxTries = 3
 	// defaultProgressTimeout is used when the service names none.
 	defaultProgressTimeout = 10 * clock.Second
+	// patience is the multiple of the usual service time below which a wait is
+	// never cut short for a retry; slow answers are within a few times of it.
+	patience = 10
 	// minSilence is the shortest wait that says anything about a backend server.
 	minSilence = time.Second
 	// statusCallerGone is logged when the caller has closed its connection; no
@@ -39,6 +42,19 @@
 	return ms.Duration()
 }
 
+// silenceTimeout limits the wait for an answer's first byte. A request that can
+// be sent again leaves half of its time for another server, if that is far more
+// than the service usually takes and the budget has a retry.
+func (f *Forwarder) silenceTimeout(x *exchange) time.Duration {
+	timeout := f.progressTimeout(x)
+	usual := clock.Millis(x.svc.Config().GetServiceTimeMs()).Duration()
+	half := time.Until(x.deadline) / 2
+	if x.repeatable && x.buffered && x.tries < maxTries && usual > 0 && half >= patience*usual && f.budget.Ready() {
+		timeout = min(timeout, half)
+	}
+	return timeout
+}
+
 // sendAll acquires a slot and sends the request, again on another backend
 // server where that is allowed.
 func (f *Forwarder) sendAll(x *exchange) *Refusal {
@@ -185,7 +201,7 @@
 		}
 		a.up.Store(&upload{body: x.r.Body, limit: int64(x.svc.Config().GetMaxBodyBytes())})
 	}
-	a.dog.watch(f.progressTimeout(x), deadline)
+	a.dog.watch(f.silenceTimeout(x), deadline)
 	a.flight.once = !x.repeatable
 	if x.life.Copies() == 0 && x.tries == 1 {
 		f.budget.Sent(x.snap.Config().GetSettings().GetRetryBudgetPercent())
--- a/pkg/forwarder/upload_test.go
+++ b/pkg/forwarder/upload_test.go
@@ -234,6 +234,56 @@
 	}
 }
 
+// TestSilenceWithinDeadline guards against a deadline that is used up by one
+// silent connection although the request may be repeated, and against slow
+// answers that are cut short because of it.
+func TestSilenceWithinDeadline(t *testing.T) {
+	for _, tc := range []struct {
+		name, method string
+		credit       int
+		serviceMs    uint32
+		status       int
+		took         time.Duration
+	}{
+		{"fails over", "PUT", 10, 10, 200, 2500 * time.Millisecond},
+		{"no budget", "PUT", 0, 10, 504, 5 * time.Second},
+		{"slow service", "PUT", 10, 500, 504, 5 * time.Second},
+		{"not repeatable", "POST", 10, 10, 504, 5 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, func(s *serverSide) {
+					if s.host == "s0:80" {
+						_, _ = io.Copy(io.Discard, s)
+						return
+					}
+					if _, _, err := s.readRequest(); err != nil {
+						return
+					}
+					// The body pauses for longer than the wait for the first byte.
+					_, _ = io.WriteString(s, wholeAnswer[:len(wholeAnswer)-1])
+					wait(4 * time.Second)
+					_, _ = io.WriteString(s, wholeAnswer[len(wholeAnswer)-1:])
+				})
+				defer fx.close()
+				fx.svc.ServiceTimeMs = tc.serviceMs
+				for range tc.credit {
+					fx.f.budget.Sent(10)
+				}
+				start := time.Now()
+				got := fx.call(request(tc.method, "/svc/a", "x"))
+				assertEqual(t, got.status, tc.status, "status")
+				took := time.Since(start)
+				if tc.status == 200 {
+					assertEqual(t, got.body, "hello", "body")
+					took -= 4 * time.Second
+				}
+				assertEqual(t, took, tc.took, "time until the answer began")
+			})
+		})
+	}
+}
+
 // TestSilentServer guards against a server that is silent on every connection and is not blamed.
 func TestSilentServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
