--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"catkindyke/pkg/claimer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/controller"
 	"catkindyke/pkg/dialer"
@@ -127,6 +128,7 @@
 		Snapshot: h.controller.Snapshot, Admit: h.controller.Admit, Acquire: h.acquire,
 		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
 		Transport: cfg.BackendTransport,
+		Claims:    claimer.New(claimer.Config{Store: h.store}),
 	})
 	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder}
 	h.caller = newServer(apiserver.Caller(api))
@@ -137,6 +139,7 @@
 	}
 	go h.controller.Run(ctx)
 	go h.runSlots(ctx)
+	go h.cleanClaims(ctx)
 	return h, nil
 }
 
