Add the table of client blocks and its pieces

Cause: look-ups need the site of a caller's address from 2.4 million blocks in under 24 MB, and a change of a few blocks must not cost a whole table.

Change: pkg/locator keeps IPv4 in a three-level array (16, 8 and 8 bits) whose nodes hold one value for each run, and IPv6 in sorted arrays. A part encodes to the content that it was read from, so that hosts serve pieces without keeping the encoded form.

A table of random IPv6 /48 only is not within 24 MB; it takes about 20 bytes a block.

--- /dev/null
+++ b/pkg/locator/bench_test.go
@@ -0,0 +1,247 @@
+package locator
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"sort"
+	"testing"
+
+	"github.com/gaissmai/bart"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	designBlocks = 2_400_000
+	designSites  = 110
+)
+
+func benchSites() []string {
+	out := make([]string, designSites)
+	for i := range out {
+		out[i] = fmt.Sprintf("site-%03d", i)
+	}
+	return out
+}
+
+// randomBlocks returns distinct random /24 blocks and, in the given share, IPv6 /48 blocks.
+func randomBlocks(n int, share6 float64) []Block {
+	r := rand.New(rand.NewPCG(7, 11))
+	seen := make(map[netip.Prefix]bool, n)
+	out := make([]Block, 0, n)
+	for len(out) < n {
+		k, bits, v6 := key{hi: uint64(r.Uint32()) << 32}, 24, false
+		if r.Float64() < share6 {
+			k, bits, v6 = key{hi: 0x2<<60 | r.Uint64()>>4}, 48, true
+		}
+		p := netip.PrefixFrom(k.addr(v6), bits).Masked()
+		if !seen[p] {
+			seen[p] = true
+			out = append(out, Block{p, uint16(r.IntN(designSites))})
+		}
+	}
+	out, _ = Sort(out)
+	return out
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// structure is a way to keep the table that the benchmark compares.
+type structure struct {
+	name  string
+	build func([]Block, []Piece) func(netip.Addr) bool
+}
+
+var structures = []structure{
+	{"locator", func(_ []Block, pieces []Piece) func(netip.Addr) bool {
+		t := load(pieces, 1, nil)
+		return func(a netip.Addr) bool { _, ok := t.Lookup(a); return ok }
+	}},
+	{"bart", func(blocks []Block, _ []Piece) func(netip.Addr) bool {
+		var t bart.Table[uint16]
+		for _, b := range blocks {
+			t.Insert(b.Prefix, b.Site)
+		}
+		return func(a netip.Addr) bool { _, ok := t.Lookup(a); return ok }
+	}},
+	{"bart_fast", func(blocks []Block, _ []Piece) func(netip.Addr) bool {
+		var t bart.Fast[uint16]
+		for _, b := range blocks {
+			t.Insert(b.Prefix, b.Site)
+		}
+		return func(a netip.Addr) bool { _, ok := t.Lookup(a); return ok }
+	}},
+	{"sorted_array", buildSorted},
+	{"two_level", buildTwoLevel},
+}
+
+// buildSorted keeps the runs of IPv4 in two arrays and of IPv6 in two more.
+func buildSorted(_ []Block, pieces []Piece) func(netip.Addr) bool {
+	var four []uint32
+	var six []uint64
+	var values4, values6 []uint16
+	var scratch []run
+	for _, p := range pieces {
+		d, _ := newDecoder(p.content, designSites)
+		scratch, _ = resolveNesting(d.span, d.next, scratch[:0])
+		for _, r := range scratch {
+			if p.span.v6 {
+				six, values6 = append(six, r.first.hi), append(values6, r.value)
+			} else {
+				four, values4 = append(four, uint32(r.first.hi>>32)), append(values4, r.value)
+			}
+		}
+	}
+	four, six, values4, values6 = slices.Clip(slices.Clone(four)), slices.Clone(six), slices.Clone(values4), slices.Clone(values6)
+	return func(a netip.Addr) bool {
+		k := keyOf(a)
+		if a.Is4() {
+			v := uint32(k.hi >> 32)
+			return values4[sort.Search(len(four), func(i int) bool { return four[i] > v })-1] != 0
+		}
+		return values6[sort.Search(len(six), func(i int) bool { return six[i] > k.hi })-1] != 0
+	}
+}
+
+// buildTwoLevel keeps a plain array with a value for each /24; it holds no longer block and no IPv6.
+func buildTwoLevel(blocks []Block, _ []Piece) func(netip.Addr) bool {
+	values := make([]uint16, 1<<24)
+	for _, b := range blocks {
+		if b.Prefix.Addr().Is4() {
+			values[keyOf(b.Prefix.Addr()).hi>>40] = b.Site + 1
+		}
+	}
+	return func(a netip.Addr) bool { return values[keyOf(a).hi>>40] != 0 }
+}
+
+func load(pieces []Piece, version uint64, old *Table) *Table {
+	head := NewHead(benchSites(), pieces)
+	head.Version = version
+	l, err := NewLoader(head, old)
+	if err != nil {
+		panic(err)
+	}
+	for _, p := range pieces {
+		if slices.Contains(l.missing, p.Sum()) {
+			if err := l.Add(p.content); err != nil {
+				panic(err)
+			}
+		}
+	}
+	t, err := l.Table()
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+// BenchmarkStructures compares memory and look-up time with all cores reading.
+// Run with -bench Structures -benchtime 2000000x.
+func BenchmarkStructures(b *testing.B) {
+	for _, share := range []float64{0, 0.2} {
+		blocks := randomBlocks(designBlocks, share)
+		pieces := Split(blocks)
+		addrs := make([]netip.Addr, 1<<16)
+		r := rand.New(rand.NewPCG(1, 2))
+		for i := range addrs {
+			addrs[i] = blocks[r.IntN(len(blocks))].Prefix.Addr()
+		}
+		for _, s := range structures {
+			if share > 0 && s.name == "two_level" {
+				continue
+			}
+			b.Run(fmt.Sprintf("%s/ipv6=%v", s.name, share), func(b *testing.B) {
+				before := heap()
+				find := s.build(blocks, pieces)
+				used := heap() - before
+				b.ReportAllocs()
+				b.ResetTimer()
+				b.RunParallel(func(pb *testing.PB) {
+					i := rand.IntN(len(addrs))
+					for pb.Next() {
+						i = (i + 1) % len(addrs)
+						if !find(addrs[i]) {
+							panic("no match for " + addrs[i].String())
+						}
+					}
+				})
+				b.ReportMetric(float64(used)/1e6, "MB")
+				runtime.KeepAlive(find)
+			})
+		}
+	}
+}
+
+// BenchmarkBuild compares the time and garbage of building each structure.
+func BenchmarkBuild(b *testing.B) {
+	blocks := randomBlocks(designBlocks, 0)
+	pieces := Split(blocks)
+	for _, s := range structures {
+		b.Run(s.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				runtime.KeepAlive(s.build(blocks, pieces))
+			}
+		})
+	}
+}
+
+// BenchmarkUpdate measures an update of a table in force: one block, and every
+// piece. It reports bytes on the wire and the heap with both tables in memory.
+func BenchmarkUpdate(b *testing.B) {
+	blocks := randomBlocks(designBlocks, 0)
+	for _, changed := range []int{1, 100, designBlocks} {
+		b.Run(fmt.Sprintf("blocks=%d", changed), func(b *testing.B) {
+			now := slices.Clone(blocks)
+			r := rand.New(rand.NewPCG(3, 4))
+			for range changed {
+				i := r.IntN(len(now))
+				now[i].Site = (now[i].Site + 1) % designSites
+			}
+			slices.SortFunc(now, func(a, b Block) int { return cmp.Compare(keyOf(a.Prefix.Addr()).hi, keyOf(b.Prefix.Addr()).hi) })
+			oldPieces, newPieces := Split(blocks), Split(now)
+			before := heap()
+			old := load(oldPieces, 1, nil)
+			inForce := heap() - before
+			b.ReportAllocs()
+			// Without collection the heap after one update bounds its peak.
+			percent := debug.SetGCPercent(-1)
+			t := load(newPieces, 2, old)
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			debug.SetGCPercent(percent)
+			peak := m.HeapAlloc - before
+			b.ResetTimer()
+			for range b.N {
+				t = load(newPieces, 2, old)
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(heap()-before)/1e6, "both_MB")
+			b.ReportMetric(float64(peak)/1e6, "peak_MB")
+			b.ReportMetric(float64(inForce)/1e6, "in_force_MB")
+			wire, first := 0, 0
+			for i, p := range newPieces {
+				first += len(p.content)
+				if i >= len(oldPieces) || p.Sum() != oldPieces[i].Sum() {
+					wire += len(p.content)
+				}
+			}
+			value, _ := proto.Marshal(t.head)
+			b.ReportMetric(float64(wire+len(value)), "delta_B")
+			b.ReportMetric(float64(first+len(value)), "first_load_B")
+			b.ReportMetric(float64(len(value)), "head_B")
+			runtime.KeepAlive(old)
+			runtime.KeepAlive(t)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/locator/loader.go
@@ -0,0 +1,104 @@
+package locator
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+
+	"catkindyke/pkg/schema"
+)
+
+// Loader collects the pieces of a head. It takes over the parts of an older
+// table that did not change.
+type Loader struct {
+	head    *schema.BlocksHead
+	spans   []span
+	parts   map[sum]*part
+	missing []sum
+	scratch scratch
+}
+
+// NewLoader checks a head and finds the pieces that the old table, which may be nil, lacks.
+func NewLoader(head *schema.BlocksHead, old *Table) (*Loader, error) {
+	spans, err := checkHead(head)
+	if err != nil {
+		return nil, err
+	}
+	l := &Loader{head: head, spans: spans, parts: make(map[sum]*part, len(spans))}
+	reuse := old != nil && samePrefix(old.head.GetSites(), head.GetSites())
+	for i, p := range head.GetPieces() {
+		name := sum(p.GetSha256())
+		if _, seen := l.parts[name]; seen {
+			return nil, fmt.Errorf("%w: head names one piece for two ranges", ErrCorrupt)
+		}
+		l.parts[name] = nil
+		if reuse && old.parts[name] != nil && old.parts[name].span == spans[i] {
+			l.parts[name] = old.parts[name]
+			continue
+		}
+		l.missing = append(l.missing, name)
+	}
+	return l, nil
+}
+
+// samePrefix reports whether the indexes of the old sites keep their meaning.
+func samePrefix(old, now []string) bool {
+	return len(old) <= len(now) && slices.Equal(old, now[:len(old)])
+}
+
+// Head returns the head whose pieces are collected.
+func (l *Loader) Head() *schema.BlocksHead { return l.head }
+
+// Missing returns the names of the pieces that are still to be added.
+func (l *Loader) Missing() [][sha256.Size]byte { return l.missing }
+
+// Piece returns a piece that was already added or taken over.
+func (l *Loader) Piece(name [sha256.Size]byte) ([]byte, bool) {
+	p := l.parts[name]
+	if p == nil {
+		return nil, false
+	}
+	return p.encode(&scratch{}), true
+}
+
+// Add checks and decodes a piece. The content is not kept.
+func (l *Loader) Add(content []byte) error {
+	name := sha256.Sum256(content)
+	at := slices.Index(l.missing, name)
+	if at < 0 {
+		return fmt.Errorf("%w: piece %x is not in the head or was already added", ErrCorrupt, name[:6])
+	}
+	p, err := newPart(content, len(l.head.GetSites()), &l.scratch)
+	if err != nil {
+		return err
+	}
+	for i, entry := range l.head.GetPieces() {
+		if sum(entry.GetSha256()) == name && p.span != l.spans[i] {
+			return fmt.Errorf("%w: piece %s stands for the range %s", ErrCorrupt, p.span.prefix(), l.spans[i].prefix())
+		}
+	}
+	l.parts[name] = p
+	l.missing = slices.Delete(l.missing, at, at+1)
+	return nil
+}
+
+// Table returns the whole table. It fails while pieces are missing.
+func (l *Loader) Table() (*Table, error) {
+	if len(l.missing) > 0 {
+		return nil, fmt.Errorf("%w: %d pieces are missing", ErrCorrupt, len(l.missing))
+	}
+	t := &Table{head: l.head, parts: l.parts, index4: make([]uint16, 1<<maxPieceBits4)}
+	for i, entry := range l.head.GetPieces() {
+		p := l.parts[sum(entry.GetSha256())]
+		t.list = append(t.list, p)
+		if p.span.v6 {
+			continue
+		}
+		t.first6 = i + 1
+		from := p.span.first.hi >> 48
+		for j := range len(p.root) {
+			t.index4[from+uint64(j)] = uint16(i)
+		}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/pkg/locator/locator_test.go
@@ -0,0 +1,326 @@
+package locator
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"catkindyke/pkg/schema"
+)
+
+var testSites = []string{"aarhus", "odense", "vejle", "ribe"}
+
+func assertNoError(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, err error, step string,
+) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: %v", step, err)
+	}
+}
+
+// drawPrefix draws prefixes that nest and meet often, by using few address bits.
+func drawPrefix(t *rapid.T) netip.Prefix {
+	var raw [16]byte
+	size := 4
+	if rapid.Bool().Draw(t, "v6") {
+		size = 16
+	}
+	for _, i := range rapid.SliceOfN(rapid.IntRange(0, size*8-1), 0, 6).Draw(t, "set") {
+		raw[i/8] |= 0x80 >> (i % 8)
+	}
+	if rapid.Bool().Draw(t, "high") {
+		for i := range raw {
+			raw[i] = ^raw[i]
+		}
+	}
+	addr, _ := netip.AddrFromSlice(raw[:size])
+	return netip.PrefixFrom(addr, rapid.IntRange(0, size*8).Draw(t, "bits")).Masked()
+}
+
+func drawBlocks(t *rapid.T) []Block {
+	seen := make(map[netip.Prefix]bool)
+	var out []Block
+	for range rapid.IntRange(0, 60).Draw(t, "blocks") {
+		p := drawPrefix(t)
+		if !seen[p] {
+			seen[p] = true
+			out = append(out, Block{p, uint16(rapid.IntRange(0, len(testSites)-1).Draw(t, "site"))})
+		}
+	}
+	out, err := Sort(out)
+	assertNoError(t, err, "sort")
+	return out
+}
+
+func makeTable(t rapid.TB, blocks []Block, version uint64, old *Table) *Table {
+	t.Helper()
+	pieces := Split(blocks)
+	head := NewHead(testSites, pieces)
+	head.Version = version
+	l, err := NewLoader(head, old)
+	assertNoError(t, err, "head")
+	for _, p := range pieces {
+		if slices.Contains(l.Missing(), p.Sum()) {
+			assertNoError(t, l.Add(p.Content()), "piece")
+		}
+	}
+	table, err := l.Table()
+	assertNoError(t, err, "table")
+	return table
+}
+
+// naive is the reference: the longest block that contains the address.
+func naive(blocks []Block, addr netip.Addr) (string, bool) {
+	best, site := -1, ""
+	for _, b := range blocks {
+		if b.Prefix.Contains(addr) && b.Prefix.Bits() > best {
+			best, site = b.Prefix.Bits(), testSites[b.Site]
+		}
+	}
+	return site, best >= 0
+}
+
+// edges returns the addresses at which an answer can change.
+func edges(blocks []Block) []netip.Addr {
+	out := []netip.Addr{netip.IPv4Unspecified(), netip.IPv6Unspecified(), netip.MustParseAddr("255.255.255.255"), key{^uint64(0), ^uint64(0)}.addr(true)}
+	for _, b := range blocks {
+		s := spanOf(b.Prefix)
+		last := s.last().addr(s.v6)
+		out = append(out, b.Prefix.Addr(), b.Prefix.Addr().Prev(), last, last.Next())
+	}
+	return slices.DeleteFunc(out, func(a netip.Addr) bool { return !a.IsValid() })
+}
+
+// TestLookup guards against a block that answers for the wrong addresses,
+// also after an update that takes over parts of an older table, and against
+// pieces that other hosts refuse because they are not served as they were read.
+func TestLookup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := drawBlocks(t)
+		table := makeTable(t, first, 1, nil)
+		for _, p := range Split(first) {
+			if got, ok := table.Piece(p.Sum()); !ok || string(got) != string(p.Content()) {
+				t.Fatalf("piece %s is served as %x, was %x", p.span.prefix(), got, p.Content())
+			}
+		}
+		second, err := Sort(append(slices.Clone(first), Block{netip.MustParsePrefix("192.0.2.0/25"), 1}))
+		if err != nil {
+			second = first
+		}
+		for _, step := range []struct {
+			blocks []Block
+			table  *Table
+		}{{first, table}, {second, makeTable(t, second, 2, table)}} {
+			for _, addr := range edges(step.blocks) {
+				got, ok := step.table.Lookup(addr)
+				want, wantOK := naive(step.blocks, addr)
+				if got != want || ok != wantOK {
+					t.Fatalf("%s: got %q %v, want %q %v", addr, got, ok, want, wantOK)
+				}
+			}
+		}
+	})
+}
+
+// TestLookupMapped guards against IPv4 callers on a dual-stack socket that match no block.
+func TestLookupMapped(t *testing.T) {
+	table := makeTable(t, []Block{{netip.MustParsePrefix("192.0.2.0/24"), 2}}, 1, nil)
+	for addr, want := range map[string]bool{"::ffff:192.0.2.7": true, "192.0.2.7": true, "192.0.3.0": false, "::192.0.2.7": false} {
+		if got, ok := table.Lookup(netip.MustParseAddr(addr)); ok != want || want && got != "vejle" {
+			t.Errorf("%s: got %q %v, want match %v", addr, got, ok, want)
+		}
+	}
+	if _, ok := (*Table)(nil).Lookup(netip.MustParseAddr("192.0.2.7")); ok {
+		t.Error("a missing table has a match")
+	}
+}
+
+// denseBlocks returns /24 blocks in many /16s, enough for several pieces.
+func denseBlocks(n int) []Block {
+	out := make([]Block, n)
+	for i := range out {
+		a := uint32(i) * 11 << 8
+		out[i] = Block{netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(a >> 24), byte(a >> 16), byte(a >> 8)}), 24), uint16(i % len(testSites))}
+	}
+	return out
+}
+
+// TestSplit guards against pieces too large for the store and against changes
+// that replace pieces far from the changed block.
+func TestSplit(t *testing.T) {
+	blocks := append([]Block{{netip.MustParsePrefix("0.0.0.0/0"), 3}}, denseBlocks(100_000)...)
+	old := makeTable(t, blocks, 1, nil)
+	blocks[50_000].Site = (blocks[50_000].Site + 1) % 4
+	pieces := Split(blocks)
+	head := NewHead(testSites, pieces)
+	head.Version = 2
+	l, err := NewLoader(head, old)
+	assertNoError(t, err, "head")
+	if len(pieces) < 16 || len(l.Missing()) != 1 {
+		t.Errorf("%d of %d pieces replaced, want 1 of at least 16", len(l.Missing()), len(pieces))
+	}
+	for _, p := range pieces {
+		if len(p.Content()) > 1<<20 {
+			t.Errorf("piece %s has %d bytes", p.span.prefix(), len(p.Content()))
+		}
+	}
+}
+
+// TestSplitFull guards against an IPv4 piece that cannot be split and does not fit the store.
+func TestSplitFull(t *testing.T) {
+	var blocks []Block
+	for bits := 17; bits <= 32; bits++ {
+		for i := range 1 << (bits - 16) {
+			a := uint32(10)<<24 | uint32(i)<<(32-bits)
+			blocks = append(blocks, Block{netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(a >> 16), byte(a >> 8), byte(a)}), bits), uint16(i+bits) % 4})
+		}
+	}
+	blocks, err := Sort(blocks)
+	assertNoError(t, err, "sort")
+	for _, p := range Split(blocks) {
+		if len(p.Content()) > 1<<20 {
+			t.Errorf("piece %s has %d bytes", p.span.prefix(), len(p.Content()))
+		}
+	}
+	table := makeTable(t, blocks, 1, nil)
+	if got, _ := table.Lookup(netip.MustParseAddr("10.0.0.5")); got != testSites[(5+32)%4] {
+		t.Errorf("got %q", got)
+	}
+}
+
+// TestSortDuplicate guards against one block that two sites claim.
+func TestSortDuplicate(t *testing.T) {
+	p := netip.MustParsePrefix("192.0.2.0/24")
+	if _, err := Sort([]Block{{p, 1}, {p, 2}}); !errors.Is(err, ErrDuplicate) {
+		t.Errorf("got %v", err)
+	}
+	if got, err := Sort([]Block{{p, 1}, {p, 1}}); err != nil || len(got) != 1 {
+		t.Errorf("got %v, %v", got, err)
+	}
+}
+
+// TestBadHead guards against heads that would put a wrong or partial table in force.
+func TestBadHead(t *testing.T) {
+	pieces := Split(denseBlocks(100_000))
+	for name, spoil := range map[string]func(h *schema.BlocksHead){
+		"no_version":   func(h *schema.BlocksHead) { h.Version = 0 },
+		"gap":          func(h *schema.BlocksHead) { h.Pieces = slices.Delete(h.Pieces, 1, 2) },
+		"cut_short":    func(h *schema.BlocksHead) { h.Pieces = h.Pieces[:len(h.Pieces)-1] },
+		"no_ipv4":      func(h *schema.BlocksHead) { h.Pieces = h.Pieces[len(h.Pieces)-1:] },
+		"no_pieces":    func(h *schema.BlocksHead) { h.Pieces = nil },
+		"out_of_order": func(h *schema.BlocksHead) { h.Pieces[0], h.Pieces[1] = h.Pieces[1], h.Pieces[0] },
+		"overlap":      func(h *schema.BlocksHead) { h.Pieces[1].Bits-- },
+		"twice":        func(h *schema.BlocksHead) { h.Pieces = slices.Insert(h.Pieces, 1, h.Pieces[0]) },
+		"same_content": func(h *schema.BlocksHead) { h.Pieces[1].Sha256 = h.Pieces[0].Sha256 },
+		"short_sum":    func(h *schema.BlocksHead) { h.Pieces[0].Sha256 = h.Pieces[0].Sha256[:31] },
+		"bad_address":  func(h *schema.BlocksHead) { h.Pieces[0].First = []byte{1, 2, 3} },
+		"long_prefix":  func(h *schema.BlocksHead) { h.Pieces[0].Bits = 33 },
+		"site_twice":   func(h *schema.BlocksHead) { h.Sites = []string{"ribe", "ribe"} },
+		"site_empty":   func(h *schema.BlocksHead) { h.Sites = []string{""} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := NewHead(testSites, pieces)
+			head.Version = 1
+			spoil(head)
+			if _, err := NewLoader(head, nil); !errors.Is(err, ErrCorrupt) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// TestBadPiece guards against pieces that are missing, corrupt or stand for another range.
+func TestBadPiece(t *testing.T) {
+	pieces := Split(denseBlocks(100_000))
+	head := NewHead(testSites, pieces)
+	head.Version = 1
+	l, err := NewLoader(head, nil)
+	assertNoError(t, err, "head")
+	spoilt := slices.Clone(pieces[0].Content())
+	spoilt[20]++
+	if err := l.Add(spoilt); !errors.Is(err, ErrCorrupt) {
+		t.Errorf("spoilt piece: got %v", err)
+	}
+	if _, err := l.Table(); !errors.Is(err, ErrCorrupt) {
+		t.Errorf("missing pieces: got %v", err)
+	}
+	few := NewHead(testSites[:1], pieces)
+	few.Version = 1
+	l, err = NewLoader(few, nil)
+	assertNoError(t, err, "head")
+	if err := l.Add(pieces[0].Content()); !errors.Is(err, ErrCorrupt) {
+		t.Errorf("site out of range: got %v", err)
+	}
+	head.Pieces[0].Sha256, head.Pieces[1].Sha256 = head.Pieces[1].Sha256, head.Pieces[0].Sha256
+	l, err = NewLoader(head, nil)
+	assertNoError(t, err, "head")
+	if err := l.Add(pieces[0].Content()); !errors.Is(err, ErrCorrupt) {
+		t.Errorf("other range: got %v", err)
+	}
+}
+
+// TestSitesReordered guards against parts taken over although their site indexes changed meaning.
+func TestSitesReordered(t *testing.T) {
+	blocks := []Block{{netip.MustParsePrefix("192.0.2.0/24"), 0}}
+	old := makeTable(t, blocks, 1, nil)
+	head := NewHead([]string{"odense", "aarhus"}, Split(blocks))
+	head.Version = 2
+	l, err := NewLoader(head, old)
+	assertNoError(t, err, "head")
+	if len(l.Missing()) != 2 {
+		t.Errorf("%d pieces missing, want all 2", len(l.Missing()))
+	}
+}
+
+// FuzzPiece guards against contents that crash the decoder or that decode to
+// blocks from which another content is made.
+func FuzzPiece(f *testing.F) {
+	for _, p := range Split(denseBlocks(40)) {
+		f.Add(p.Content())
+	}
+	f.Add(Split([]Block{{netip.MustParsePrefix("2001:db8::/32"), 1}, {netip.MustParsePrefix("2001:db8::1/128"), 2}})[1].Content())
+	f.Fuzz(func(t *testing.T, content []byte) {
+		p, err := newPart(content, len(testSites), &scratch{})
+		if err != nil {
+			return
+		}
+		if got := p.encode(&scratch{}); string(got) != string(content) {
+			t.Fatalf("encoded again: %x, was %x", got, content)
+		}
+	})
+}
+
+// FuzzHead guards against heads that crash the checks.
+func FuzzHead(f *testing.F) {
+	head := NewHead(testSites, Split(denseBlocks(40)))
+	head.Version = 1
+	value, err := proto.Marshal(head)
+	assertNoError(f, err, "encode")
+	f.Add(value)
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		head, err := DecodeHead(value)
+		if err == nil {
+			_, _ = NewLoader(head, nil)
+		}
+	})
+}
+
+func ExampleTable_Lookup() {
+	head := NewHead([]string{"odense"}, Split([]Block{{netip.MustParsePrefix("192.0.2.0/24"), 0}}))
+	head.Version = 1
+	l, _ := NewLoader(head, nil)
+	for _, p := range Split([]Block{{netip.MustParsePrefix("192.0.2.0/24"), 0}}) {
+		_ = l.Add(p.Content())
+	}
+	table, _ := l.Table()
+	fmt.Println(table.Lookup(netip.MustParseAddr("192.0.2.1")))
+	// Output: odense true
+}
--- /dev/null
+++ b/pkg/locator/part.go
@@ -0,0 +1,306 @@
+package locator
+
+import (
+	"bytes"
+	"fmt"
+	"math/bits"
+	"sort"
+)
+
+// childFlag marks a value that refers to a node instead of a site.
+const childFlag = 1 << 15
+
+// rootFlag marks a root entry that refers to a node.
+const rootFlag = 1 << 31
+
+// part is the decoded form of a piece, with nesting resolved. A value is zero
+// for no site, or the site's index plus one.
+type part struct {
+	span span
+
+	// The fields below hold an IPv4 part: a root indexed by the address bits of
+	// the /16s in the range, then nodes for bits 16 to 23 and 24 to 31.
+
+	root   []uint32
+	nodes  []node
+	values []uint16
+
+	// The fields below hold an IPv6 part: runs of addresses with one value, by
+	// first address. The low halves are absent when all are zero.
+
+	hi   []uint64
+	lo   []uint64
+	runs []uint16
+}
+
+// node maps 8 bits of an address to a value. A set bit starts a run of equal
+// values, so that a node keeps one value for each run.
+type node struct {
+	starts   [4]uint64
+	values   uint32
+	children uint32
+}
+
+// run is a range of addresses with one value that ends where the next run starts.
+type run struct {
+	first key
+	value uint16
+}
+
+// scratch holds buffers that are reused from piece to piece.
+type scratch struct {
+	runs    []run
+	blocks  []entry
+	content []byte
+}
+
+// newPart decodes and checks a piece. A part must encode to the same content
+// again, because hosts keep only the decoded form and serve pieces from it.
+func newPart(content []byte, sites int, buf *scratch) (*part, error) {
+	d, err := newDecoder(content, sites)
+	if err != nil {
+		return nil, err
+	}
+	if buf.runs, err = resolveNesting(d.span, d.next, buf.runs[:0]); err != nil {
+		return nil, err
+	}
+	p := &part{span: d.span}
+	if d.span.v6 {
+		p.buildRuns(buf.runs)
+	} else {
+		p.buildTrie(buf.runs)
+	}
+	if !bytes.Equal(p.encode(buf), content) {
+		return nil, fmt.Errorf("%w: piece %s is not in its shortest form", ErrCorrupt, p.span.prefix())
+	}
+	return p, nil
+}
+
+// encode returns the content of the piece; it lies in the buffer.
+func (p *part) encode(buf *scratch) []byte {
+	buf.runs = p.appendRuns(buf.runs[:0])
+	buf.blocks = aligned(p.span, buf.runs, buf.blocks[:0])
+	buf.content = encode(buf.content[:0], p.span, buf.blocks)
+	return buf.content
+}
+
+// appendRuns appends the runs of the part in address order.
+func (p *part) appendRuns(out []run) []run {
+	add := func(first key, value uint16) {
+		if len(out) == 0 || out[len(out)-1].value != value {
+			out = append(out, run{first, value})
+		}
+	}
+	if p.span.v6 {
+		for i, v := range p.runs {
+			k := key{hi: p.hi[i]}
+			if p.lo != nil {
+				k.lo = p.lo[i]
+			}
+			add(k, v)
+		}
+		return out
+	}
+	for i, e := range p.root {
+		first := p.span.first.hi + uint64(i)<<48
+		if e&rootFlag == 0 {
+			add(key{hi: first}, uint16(e))
+			continue
+		}
+		n := &p.nodes[e&^rootFlag]
+		p.eachRun(n, func(i int, v uint16) {
+			at := first | uint64(i)<<40
+			if v&childFlag == 0 {
+				add(key{hi: at}, v)
+				return
+			}
+			p.eachRun(&p.nodes[n.children+uint32(v&^childFlag)], func(i int, v uint16) {
+				add(key{hi: at | uint64(i)<<32}, v)
+			})
+		})
+	}
+	return out
+}
+
+// eachRun calls f for each run of a node.
+func (p *part) eachRun(n *node, f func(i int, value uint16)) {
+	at := n.values
+	for word, starts := range n.starts {
+		for ; starts != 0; starts &= starts - 1 {
+			f(word*64+bits.TrailingZeros64(starts), p.values[at])
+			at++
+		}
+	}
+}
+
+type open struct {
+	last  key
+	value uint16
+}
+
+// resolveNesting turns nested blocks into runs that do not overlap.
+func resolveNesting(s span, next func() (span, uint16, bool, error), runs []run) ([]run, error) {
+	emit := func(first key, value uint16) {
+		if n := len(runs) - 1; runs[n].first == first {
+			runs = runs[:n]
+		}
+		if n := len(runs) - 1; n < 0 || runs[n].value != value {
+			runs = append(runs, run{first, value})
+		}
+	}
+	runs = append(runs, run{first: s.first})
+	var stack []open
+	end := s.last()
+	pop := func() {
+		last := stack[len(stack)-1].last
+		stack = stack[:len(stack)-1]
+		value := uint16(0)
+		if len(stack) > 0 {
+			value = stack[len(stack)-1].value
+		}
+		if last != end {
+			emit(last.next(), value)
+		}
+	}
+	for {
+		s, site, ok, err := next()
+		if err != nil {
+			return runs, err
+		}
+		if !ok {
+			break
+		}
+		for len(stack) > 0 && stack[len(stack)-1].last.compare(s.first) < 0 {
+			pop()
+		}
+		stack = append(stack, open{s.last(), site + 1})
+		emit(s.first, site+1)
+	}
+	for len(stack) > 0 {
+		pop()
+	}
+	return runs, nil
+}
+
+func (p *part) buildRuns(runs []run) {
+	p.hi, p.runs = make([]uint64, len(runs)), make([]uint16, len(runs))
+	for i, r := range runs {
+		p.hi[i], p.runs[i] = r.first.hi, r.value
+		if r.first.lo != 0 && p.lo == nil {
+			p.lo = make([]uint64, len(runs))
+		}
+	}
+	if p.lo != nil {
+		for i, r := range runs {
+			p.lo[i] = r.first.lo
+		}
+	}
+}
+
+// cursor walks through runs in address order.
+type cursor struct {
+	runs []run
+	at   int
+}
+
+// value returns the value at an IPv4 address.
+func (c *cursor) value(addr uint32) uint16 {
+	for c.at+1 < len(c.runs) && uint32(c.runs[c.at+1].first.hi>>32) <= addr {
+		c.at++
+	}
+	return c.runs[c.at].value
+}
+
+// uniform reports whether one run covers all addresses from addr to last.
+func (c *cursor) uniform(addr, last uint32) bool {
+	c.value(addr)
+	return c.at+1 >= len(c.runs) || uint32(c.runs[c.at+1].first.hi>>32) > last
+}
+
+func (p *part) buildTrie(runs []run) {
+	c := &cursor{runs: runs}
+	first := uint32(p.span.first.hi >> 32)
+	p.root = make([]uint32, 1<<(maxPieceBits4-p.span.bits))
+	p.values = make([]uint16, 0, len(runs)+len(runs)/8)
+	for i := range p.root {
+		addr := first + uint32(i)<<16
+		if c.uniform(addr, addr|0xffff) {
+			p.root[i] = uint32(c.value(addr))
+			continue
+		}
+		p.root[i] = rootFlag | p.buildMiddle(c, addr)
+	}
+	p.nodes = append([]node(nil), p.nodes...)
+	p.values = append([]uint16(nil), p.values...)
+}
+
+// buildMiddle adds the node of a /16 and its children and returns its index.
+func (p *part) buildMiddle(c *cursor, addr uint32) uint32 {
+	var values [256]uint16
+	var split []int
+	walk := *c
+	for i := range values {
+		at := addr + uint32(i)<<8
+		if walk.uniform(at, at|0xff) {
+			values[i] = walk.value(at)
+			continue
+		}
+		values[i] = childFlag | uint16(len(split))
+		split = append(split, i)
+	}
+	index := p.addNode(&values)
+	p.nodes[index].children = uint32(len(p.nodes))
+	for _, i := range split {
+		at := addr + uint32(i)<<8
+		for j := range values {
+			values[j] = c.value(at + uint32(j))
+		}
+		p.addNode(&values)
+	}
+	*c = walk
+	return index
+}
+
+func (p *part) addNode(values *[256]uint16) uint32 {
+	n := node{values: uint32(len(p.values))}
+	for i, v := range values {
+		if i == 0 || v != values[i-1] {
+			n.starts[i/64] |= 1 << (i % 64)
+			p.values = append(p.values, v)
+		}
+	}
+	p.nodes = append(p.nodes, n)
+	return uint32(len(p.nodes) - 1)
+}
+
+func (p *part) get(n *node, i uint32) uint16 {
+	word := i / 64
+	rank := bits.OnesCount64(n.starts[word] << (63 - i%64))
+	for w := range word {
+		rank += bits.OnesCount64(n.starts[w])
+	}
+	return p.values[n.values+uint32(rank)-1]
+}
+
+func (p *part) lookup4(addr uint32) uint16 {
+	entry := p.root[(addr-uint32(p.span.first.hi>>32))>>16]
+	if entry&rootFlag == 0 {
+		return uint16(entry)
+	}
+	n := &p.nodes[entry&^rootFlag]
+	v := p.get(n, addr>>8&0xff)
+	if v&childFlag == 0 {
+		return v
+	}
+	return p.get(&p.nodes[n.children+uint32(v&^childFlag)], addr&0xff)
+}
+
+func (p *part) lookup6(k key) uint16 {
+	i := sort.Search(len(p.hi), func(i int) bool {
+		if p.hi[i] != k.hi || p.lo == nil {
+			return p.hi[i] > k.hi
+		}
+		return p.lo[i] > k.lo
+	})
+	return p.runs[i-1]
+}
--- /dev/null
+++ b/pkg/locator/piece.go
@@ -0,0 +1,257 @@
+package locator
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sort"
+)
+
+const (
+	// pieceBlocks is the number of blocks above which a piece is split. A change
+	// costs one piece and the head; at 2.4 million blocks both take about 20 KB.
+	pieceBlocks = 8192
+	// maxPieceBits4 keeps an IPv4 piece at a /16 or above, as the decoded form
+	// needs. A /16 has at most 131,071 different blocks, which fit a value of the store.
+	maxPieceBits4 = 16
+	// pieceFormat is the first byte of each piece.
+	pieceFormat = 1
+)
+
+// ErrCorrupt says that a piece or head breaks a rule of the format.
+var ErrCorrupt = errors.New("corrupt block table")
+
+// Piece is the encoded content of one address range.
+type Piece struct {
+	span    span
+	content []byte
+}
+
+// Content returns the encoded piece.
+func (p Piece) Content() []byte { return p.content }
+
+// Sum returns the SHA-256 that names the piece.
+func (p Piece) Sum() [sha256.Size]byte { return sha256.Sum256(p.content) }
+
+// Split encodes sorted blocks into pieces that cover all addresses. Pieces hold
+// the largest blocks that do not overlap, with nesting resolved. Where to cut
+// depends only on the blocks of the range, so distant changes move no cut.
+func Split(blocks []Block) []Piece {
+	cut := sort.Search(len(blocks), func(i int) bool { return blocks[i].Prefix.Addr().Is6() })
+	out := splitFamily(nil, span{}, blocks[:cut])
+	return splitFamily(out, span{v6: true}, blocks[cut:])
+}
+
+func splitFamily(out []Piece, s span, blocks []Block) []Piece {
+	next := func() (span, uint16, bool, error) {
+		if len(blocks) == 0 {
+			return span{}, 0, false, nil
+		}
+		b := blocks[0]
+		blocks = blocks[1:]
+		return spanOf(b.Prefix), b.Site, true, nil
+	}
+	runs, _ := resolveNesting(s, next, nil)
+	return split(out, s, aligned(s, runs, nil))
+}
+
+// split appends the pieces of a range. A block that covers the whole range is
+// the only one in it, so no block is cut.
+func split(out []Piece, s span, blocks []entry) []Piece {
+	limit := 128
+	if !s.v6 {
+		limit = maxPieceBits4
+	}
+	if len(blocks) <= pieceBlocks || s.bits >= limit {
+		return append(out, Piece{s, encode(nil, s, blocks)})
+	}
+	low, high := s.halves()
+	cut := sort.Search(len(blocks), func(i int) bool { return blocks[i].first.compare(high.first) >= 0 })
+	out = split(out, low, blocks[:cut])
+	return split(out, high, blocks[cut:])
+}
+
+// entry is a block of a piece.
+type entry struct {
+	first key
+	bits  uint8
+	site  uint16
+}
+
+// aligned appends the largest blocks that together are the runs of a range.
+func aligned(s span, runs []run, out []entry) []entry {
+	for i, r := range runs {
+		if r.value == 0 {
+			continue
+		}
+		end := s.last()
+		if i+1 < len(runs) {
+			end = runs[i+1].first.prev()
+		}
+		for first := r.first; ; {
+			bits := max(first.alignment(), s.bits)
+			for first.last(bits).compare(end) > 0 {
+				bits++
+			}
+			out = append(out, entry{first, uint8(bits), r.value - 1})
+			last := first.last(bits)
+			if last == end {
+				break
+			}
+			first = last.next()
+		}
+	}
+	return out
+}
+
+// encode appends the content of a piece to b.
+func encode(b []byte, s span, blocks []entry) []byte {
+	family := byte(4)
+	if s.v6 {
+		family = 6
+	}
+	b = append(b, pieceFormat, family, byte(s.bits))
+	b = append(b, s.first.addr(s.v6).AsSlice()...)
+	b = binary.AppendUvarint(b, uint64(len(blocks)))
+	prev := s.first
+	for _, e := range blocks {
+		b = appendBlock(b, span{e.first, int(e.bits), s.v6}, e.site, prev)
+		prev = e.first
+	}
+	return b
+}
+
+// appendBlock writes length, site and the distance from the block before, in
+// units of the block's own size; a /24 among dense ones takes three bytes.
+func appendBlock(b []byte, s span, site uint16, prev key) []byte {
+	b = append(b, byte(s.bits))
+	b = binary.AppendUvarint(b, uint64(site))
+	if s.bits <= 64 {
+		shift := 64 - s.bits
+		return binary.AppendUvarint(b, s.first.hi>>shift-prev.hi>>shift)
+	}
+	b = binary.AppendUvarint(b, s.first.hi-prev.hi)
+	if s.first.hi != prev.hi {
+		prev.lo = 0
+	}
+	shift := 128 - s.bits
+	return binary.AppendUvarint(b, s.first.lo>>shift-prev.lo>>shift)
+}
+
+// decoder reads the blocks of a piece and checks them on the way.
+type decoder struct {
+	rest  []byte
+	span  span
+	sites int
+	left  uint64
+	prev  span
+	begun bool
+}
+
+func newDecoder(content []byte, sites int) (*decoder, error) {
+	if len(content) < 3 || content[0] != pieceFormat {
+		return nil, fmt.Errorf("%w: piece has no valid format byte", ErrCorrupt)
+	}
+	d := &decoder{sites: sites, span: span{bits: int(content[2]), v6: content[1] == 6}}
+	size := 4
+	if d.span.v6 {
+		size = 16
+	} else if content[1] != 4 {
+		return nil, fmt.Errorf("%w: piece has address family %d", ErrCorrupt, content[1])
+	}
+	if len(content) < 3+size || d.span.bits > 8*size || !d.span.v6 && d.span.bits > maxPieceBits4 {
+		return nil, fmt.Errorf("%w: piece has a bad range", ErrCorrupt)
+	}
+	d.span.first = keyFrom(content[3 : 3+size])
+	if p := d.span.prefix(); p.Masked() != p {
+		return nil, fmt.Errorf("%w: piece range %s is not masked", ErrCorrupt, p)
+	}
+	d.rest = content[3+size:]
+	d.prev = d.span
+	var err error
+	d.left, err = d.uvarint()
+	return d, err
+}
+
+func keyFrom(b []byte) key {
+	var full [16]byte
+	copy(full[:], b)
+	return key{binary.BigEndian.Uint64(full[:8]), binary.BigEndian.Uint64(full[8:])}
+}
+
+func (d *decoder) uvarint() (uint64, error) {
+	v, n := binary.Uvarint(d.rest)
+	if n <= 0 || n > 1 && d.rest[n-1] == 0 {
+		return 0, fmt.Errorf("%w: piece %s is cut short or has a bad number", ErrCorrupt, d.span.prefix())
+	}
+	d.rest = d.rest[n:]
+	return v, nil
+}
+
+// next returns the next block, or false at the end of a whole piece.
+func (d *decoder) next() (span, uint16, bool, error) {
+	if d.left == 0 {
+		if len(d.rest) > 0 {
+			return span{}, 0, false, fmt.Errorf("%w: piece %s has %d bytes too many", ErrCorrupt, d.span.prefix(), len(d.rest))
+		}
+		return span{}, 0, false, nil
+	}
+	d.left--
+	if len(d.rest) == 0 {
+		return span{}, 0, false, fmt.Errorf("%w: piece %s is cut short", ErrCorrupt, d.span.prefix())
+	}
+	s := span{bits: int(d.rest[0]), v6: d.span.v6}
+	d.rest = d.rest[1:]
+	site, err := d.uvarint()
+	if err != nil {
+		return span{}, 0, false, err
+	}
+	if site >= uint64(d.sites) {
+		return span{}, 0, false, fmt.Errorf("%w: piece %s names site %d of %d", ErrCorrupt, d.span.prefix(), site, d.sites)
+	}
+	if s.bits > 128 || !s.v6 && s.bits > 32 {
+		return span{}, 0, false, fmt.Errorf("%w: piece %s has prefix length %d", ErrCorrupt, d.span.prefix(), s.bits)
+	}
+	if s.first, err = d.first(s.bits); err != nil {
+		return span{}, 0, false, err
+	}
+	order := s.first.compare(d.prev.first)
+	if !d.span.contains(s) || d.begun && (order < 0 || order == 0 && s.bits <= d.prev.bits) {
+		return span{}, 0, false, fmt.Errorf("%w: piece %s: %s is out of order or range", ErrCorrupt, d.span.prefix(), s.prefix())
+	}
+	d.prev, d.begun = s, true
+	return s, uint16(site), true, nil
+}
+
+// first reads the first address of a block with a prefix length.
+func (d *decoder) first(bits int) (key, error) {
+	delta, err := d.uvarint()
+	if err != nil {
+		return key{}, err
+	}
+	if bits <= 64 {
+		shift := 64 - bits
+		unit := d.prev.first.hi>>shift + delta
+		if unit < delta || bits < 64 && unit>>bits != 0 {
+			return key{}, fmt.Errorf("%w: piece %s leaves the address space", ErrCorrupt, d.span.prefix())
+		}
+		return key{hi: unit << shift}, nil
+	}
+	k := key{hi: d.prev.first.hi + delta}
+	base := d.prev.first.lo
+	if delta != 0 {
+		base = 0
+	}
+	low, err := d.uvarint()
+	if err != nil {
+		return key{}, err
+	}
+	shift := 128 - bits
+	unit := base>>shift + low
+	if k.hi < delta || unit < low || bits < 128 && unit>>(bits-64) != 0 {
+		return key{}, fmt.Errorf("%w: piece %s leaves the address space", ErrCorrupt, d.span.prefix())
+	}
+	k.lo = unit << shift
+	return k, nil
+}
--- /dev/null
+++ b/pkg/locator/table.go
@@ -0,0 +1,150 @@
+package locator
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/schema"
+)
+
+// MaxSiteName bounds the length of a site's name in a head.
+const MaxSiteName = 253
+
+type sum = [sha256.Size]byte
+
+// Table is an immutable table of blocks to sites. It is safe for concurrent use.
+type Table struct {
+	head  *schema.BlocksHead
+	parts map[sum]*part
+	// index4 has the part of each IPv4 /16, as an index into list.
+	index4 []uint16
+	// list has all parts in address order, IPv4 first.
+	list []*part
+	// first6 is the index in list of the first IPv6 part.
+	first6 int
+}
+
+// Head returns the head that the table was made from; it is read only.
+func (t *Table) Head() *schema.BlocksHead {
+	if t == nil {
+		return nil
+	}
+	return t.head
+}
+
+// Version returns the version of the head, zero for no table.
+func (t *Table) Version() uint64 { return t.Head().GetVersion() }
+
+// Piece returns the content with a SHA-256, for another host that asks for it.
+func (t *Table) Piece(name [sha256.Size]byte) ([]byte, bool) {
+	if t == nil {
+		return nil, false
+	}
+	p, ok := t.parts[name]
+	if !ok {
+		return nil, false
+	}
+	return p.encode(&scratch{}), true
+}
+
+// Lookup returns the name of the site with the longest block that contains an
+// address. An IPv4 address in IPv6 form is looked up as the IPv4 address.
+func (t *Table) Lookup(addr netip.Addr) (string, bool) {
+	if t == nil || !addr.IsValid() {
+		return "", false
+	}
+	addr = addr.Unmap()
+	var v uint16
+	k := keyOf(addr)
+	if addr.Is4() {
+		v = t.list[t.index4[k.hi>>48]].lookup4(uint32(k.hi >> 32))
+	} else {
+		six := t.list[t.first6:]
+		i := sort.Search(len(six), func(i int) bool { return six[i].span.first.compare(k) > 0 })
+		v = six[i-1].lookup6(k)
+	}
+	if v == 0 {
+		return "", false
+	}
+	return t.head.Sites[v-1], true
+}
+
+// NewHead returns the head of pieces, with the version and attempt left unset.
+func NewHead(sites []string, pieces []Piece) *schema.BlocksHead {
+	head := &schema.BlocksHead{Sites: sites}
+	for _, p := range pieces {
+		name := p.Sum()
+		head.Pieces = append(head.Pieces, &schema.BlocksPiece{
+			First: p.span.first.addr(p.span.v6).AsSlice(), Bits: uint32(p.span.bits), Sha256: name[:],
+		})
+	}
+	return head
+}
+
+// DecodeHead decodes and checks a head.
+func DecodeHead(value []byte) (*schema.BlocksHead, error) {
+	head := &schema.BlocksHead{}
+	if err := proto.Unmarshal(value, head); err != nil {
+		return nil, fmt.Errorf("%w: head: %v", ErrCorrupt, err)
+	}
+	_, err := checkHead(head)
+	return head, err
+}
+
+// checkHead returns the ranges of the pieces, which must cover IPv4 and IPv6
+// in order without gap or overlap.
+func checkHead(head *schema.BlocksHead) ([]span, error) {
+	if head.GetVersion() == 0 || len(head.GetSites()) > MaxSites {
+		return nil, fmt.Errorf("%w: head has version %d and %d sites", ErrCorrupt, head.GetVersion(), len(head.GetSites()))
+	}
+	names := slices.Clone(head.GetSites())
+	slices.Sort(names)
+	for i, name := range names {
+		if name == "" || len(name) > MaxSiteName || i > 0 && name == names[i-1] {
+			return nil, fmt.Errorf("%w: head has a bad or repeated site name %q", ErrCorrupt, name)
+		}
+	}
+	spans := make([]span, 0, len(head.GetPieces()))
+	expect, v6, done := key{}, false, false
+	for _, p := range head.GetPieces() {
+		s, err := pieceSpan(p)
+		if err != nil {
+			return nil, err
+		}
+		if done && !v6 && s.v6 {
+			expect, v6, done = key{}, true, false
+		}
+		if done || s.v6 != v6 || s.first != expect {
+			return nil, fmt.Errorf("%w: head: piece %s leaves a gap, overlaps or is out of order", ErrCorrupt, s.prefix())
+		}
+		last := s.last()
+		expect = last.next()
+		done = last == span{v6: v6}.last()
+		spans = append(spans, s)
+	}
+	if !v6 || !done {
+		return nil, fmt.Errorf("%w: head: pieces do not cover all addresses", ErrCorrupt)
+	}
+	return spans, nil
+}
+
+func pieceSpan(p *schema.BlocksPiece) (span, error) {
+	addr, ok := netip.AddrFromSlice(p.GetFirst())
+	limit := uint32(128)
+	if addr.Is4() {
+		limit = maxPieceBits4
+	}
+	if !ok || p.GetBits() > limit || len(p.GetSha256()) != sha256.Size {
+		return span{}, fmt.Errorf("%w: head has a bad piece", ErrCorrupt)
+	}
+	prefix := netip.PrefixFrom(addr, int(p.GetBits()))
+	if prefix.Masked() != prefix {
+		return span{}, fmt.Errorf("%w: head: piece %s is not masked", ErrCorrupt, prefix)
+	}
+	return spanOf(prefix), nil
+}
