Distribute the block table in pieces

Cause: 900 hosts need the same 7.2 MB table and each change of it, while the store accepts about 2,000 reads a second.

Change: blocks apply FILE writes the pieces that changed, then the head by conditional update, with the answer of a lost write resolved by its attempt. Hosts learn of a head from a watch, a list call every 8 s and heartbeats. Three hosts, chosen per piece by rendezvous hashing, read it from the store; the others ask them, or hosts that have the whole table. A table comes into force only with all its pieces checked. Blocks of the configuration's sites form a table that answers for addresses that the large one lacks.

Conclusion: pieces are paced at one each 20 ms, so 512 pieces need 10 s.

--- /dev/null
+++ b/cmd/catkindyke/commander/blocks_test.go
@@ -0,0 +1,43 @@
+package commander
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"catkindyke/pkg/emulator"
+)
+
+// TestBlocksApply guards against a block file that is accepted with errors, or
+// that is written again when nothing changed.
+func TestBlocksApply(t *testing.T) {
+	server := httptest.NewServer(emulator.NewPlatform(emulator.Budget{}))
+	defer server.Close()
+	dir := t.TempDir()
+	base, file := filepath.Join(dir, "base.yaml"), filepath.Join(dir, "blocks.txt")
+	assertNoError(t, os.WriteFile(base, demoBase, 0o600), "write base")
+	run := func(want int, text string, args ...string) {
+		t.Helper()
+		var out bytes.Buffer
+		if got := New(&out, &out).Run(t.Context(), args); got != want || !strings.Contains(out.String(), text) {
+			t.Errorf("%v: exit status %d, want %d; printed %q, want %q", args, got, want, out.String(), text)
+		}
+	}
+	blocks := func(content string) {
+		assertNoError(t, os.WriteFile(file, []byte(content), 0o600), "write blocks")
+	}
+	run(exitOK, "version 1 accepted", "apply", "-store", server.URL, base)
+	blocks("10.0.0.0/8 odense\n11.0.0.1/8 odense\n12.0.0.0/8 nowhere\n")
+	run(exitFailure, `blocks.txt:2: block "11.0.0.1/8" has bits`, "blocks", "apply", "-store", server.URL, file)
+	run(exitFailure, `blocks.txt:3: site "nowhere" is not in`, "blocks", "apply", "-store", server.URL, file)
+	blocks("10.0.0.0/8 odense\n")
+	run(exitOK, "version 1 accepted, 2 of 2 pieces", "blocks", "apply", "-store", server.URL, file)
+	run(exitOK, "no change against version 1", "blocks", "apply", "-store", server.URL, file)
+	blocks("10.0.0.0/8 aarhus\n")
+	run(exitOK, "version 2 accepted, 1 of 2 pieces", "blocks", "apply", "-store", server.URL, file)
+	run(exitFailure, "no such file", "blocks", "apply", "-store", server.URL, filepath.Join(dir, "none"))
+	run(exitUsage, "one file", "blocks", "apply")
+}
--- a/cmd/catkindyke/commander/demo.go
+++ b/cmd/catkindyke/commander/demo.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"catkindyke/pkg/authenticator"
 	"catkindyke/pkg/emulator"
 	"catkindyke/pkg/logger"
 	"catkindyke/pkg/parser"
@@ -25,6 +27,12 @@
 //go:embed demo_base.yaml
 var demoBase []byte
 
+// demoBlocks splits the loopback network over the demo's sites.
+const demoBlocks = `127.0.0.0/10   roskilde
+127.64.0.0/10  aarhus
+127.128.0.0/9  odense
+`
+
 // errWrongAnswers says that the demo's own checks failed.
 var errWrongAnswers = errors.New("the demo saw wrong answers")
 
@@ -149,7 +157,8 @@
 		}
 		d.keys[w.GetName()] = key
 	}
-	return nil
+	_, err = applyBlocks(ctx, p, "demo", strings.NewReader(demoBlocks))
+	return err
 }
 
 func (d *demo) startHosts(count int, level string, c *Commander) error {
@@ -185,12 +194,14 @@
 	return nil
 }
 
-// waitReady waits until each host has the configuration and keys and hears all others.
+// waitReady waits until each host has the configuration, keys and blocks, hears
+// all others and answers a request. A host is ready some time before it holds
+// share slots, and until then it refuses every request that needs a key.
 func (d *demo) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, demoStartTimeout)
 	defer cancel()
 	for _, h := range d.hosts {
-		for !d.ready(h) {
+		for !d.ready(h) || !d.answers(ctx, h) {
 			select {
 			case <-ctx.Done():
 				return fmt.Errorf("host %s is not ready: %w", h.Snapshot().Self().Name, ctx.Err())
@@ -203,7 +214,23 @@
 
 func (d *demo) ready(h *runner.Host) bool {
 	s := h.Snapshot()
-	return s.Ready() && s.Versions()[replicator.Keys] >= uint64(len(d.keys)) && len(s.Hosts()) == len(d.hosts)
+	return s.Ready() && s.Versions()[replicator.Keys] >= uint64(len(d.keys)) && len(s.Hosts()) == len(d.hosts) && s.Blocks().Version() > 0
+}
+
+// answers reports whether a host answers a request with a key.
+func (d *demo) answers(ctx context.Context, h *runner.Host) bool {
+	target := "http://" + h.CallerAddress() + "/" + d.cfg.GetServices()[0].GetName() + "/probe"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set(authenticator.KeyHeader, d.keys[d.cfg.GetWorkspaces()[0].GetName()])
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 func (d *demo) run(ctx context.Context, c *Commander, duration time.Duration) error {
--- /dev/null
+++ b/pkg/controller/blocks.go
@@ -0,0 +1,284 @@
+package controller
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/fetcher"
+	"catkindyke/pkg/locator"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+// blocksWatchWait is how long one watch for a new block table waits. After each
+// watch the version is listed once, in case the watch is silent.
+const blocksWatchWait = 8 * time.Second
+
+// blockLoad is a load of a block table that is not in force yet. A goroutine of
+// its own reads and decodes pieces, so that the control goroutine only puts
+// finished tables in force.
+type blockLoad struct {
+	heads chan *schema.BlocksHead
+	// target is the version that is loaded or in force.
+	target atomic.Uint64
+
+	// mu guards loader, from which other hosts are served during a load.
+	mu     sync.Mutex
+	loader *locator.Loader
+}
+
+// setSiteBlocks makes the table of the configuration's blocks; it runs on the control goroutine.
+func (c *Controller) setSiteBlocks() {
+	table, err := locator.FromSites(c.input.Config.GetSites())
+	if err != nil {
+		c.cfg.Log.Error().Err(err).Msg("site_blocks_refused")
+		return
+	}
+	c.input.SiteBlocks = table
+}
+
+// watchBlocks follows the head of the block table in the store.
+func (c *Controller) watchBlocks(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		obj, err := c.cfg.Store.Watch(ctx, replicator.BlocksHead, after, blocksWatchWait)
+		if errors.Is(err, storeclient.ErrNotModified) {
+			obj, err = c.listBlocks(ctx, after)
+		}
+		switch {
+		case err == nil:
+			after = obj.Version
+			c.offerBlocks(obj.Value)
+		case !errors.Is(err, storeclient.ErrNotModified):
+			pause(ctx, retryWait)
+		}
+	}
+}
+
+// listBlocks reads the head if its version is above after. The list call has no
+// values, so that an unchanged head costs few bytes.
+func (c *Controller) listBlocks(ctx context.Context, after uint64) (storeclient.Object, error) {
+	list, err := c.cfg.Store.List(ctx, replicator.BlocksHead)
+	if err != nil {
+		return storeclient.Object{}, err
+	}
+	for _, obj := range list {
+		if obj.Name == replicator.BlocksHead && obj.Version > after {
+			return c.cfg.Store.Get(ctx, replicator.BlocksHead)
+		}
+	}
+	return storeclient.Object{}, storeclient.ErrNotModified
+}
+
+// offerBlocks gives a head to the loading goroutine if it is newer.
+func (c *Controller) offerBlocks(value []byte) {
+	head, err := locator.DecodeHead(value)
+	if err != nil {
+		c.cfg.Meter.Add("blocks_refused", 1)
+		c.cfg.Log.Error().Err(err).Msg("blocks_head_refused")
+		return
+	}
+	if head.GetVersion() <= c.blocks.target.Load() {
+		return
+	}
+	select {
+	case c.blocks.heads <- head:
+	default:
+		// The version is seen again in a heartbeat or list call.
+	}
+}
+
+// noticeBlocks fetches a newer head from a peer; it runs on the control goroutine.
+func (c *Controller) noticeBlocks(ctx context.Context, info *schema.HostInfo) {
+	if info.GetBlocksVersion() <= c.blocks.target.Load() || c.fetching[replicator.Blocks] {
+		return
+	}
+	c.fetching[replicator.Blocks] = true
+	go func() {
+		defer c.post(func() { delete(c.fetching, replicator.Blocks) })
+		value, err := c.fetchBlocks(context.WithoutCancel(ctx), info.GetPeerAddress(), "")
+		if err == nil && len(value) > 0 {
+			c.offerBlocks(value)
+		}
+	}()
+}
+
+func (c *Controller) fetchBlocks(ctx context.Context, address, sha string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.cfg.Peer(ctx, address).FetchDocument(ctx, &schema.FetchDocumentRequest{Kind: replicator.Blocks, Sha256: sha})
+	if err != nil {
+		return nil, err
+	}
+	return resp.GetContent(), nil
+}
+
+// serveBlocks answers a peer with the head or a piece; the content is empty
+// when the host does not have it.
+func (c *Controller) serveBlocks(req *schema.FetchDocumentRequest) (*schema.FetchDocumentResponse, error) {
+	table := c.Snapshot().Blocks()
+	if req.GetSha256() == "" {
+		if table == nil {
+			return &schema.FetchDocumentResponse{}, nil
+		}
+		value, err := proto.Marshal(table.Head())
+		return &schema.FetchDocumentResponse{Content: value}, err
+	}
+	raw, err := hex.DecodeString(req.GetSha256())
+	if err != nil || len(raw) != 32 {
+		return nil, fmt.Errorf("%w: bad piece name", locator.ErrCorrupt)
+	}
+	content, ok := table.Piece([32]byte(raw))
+	if !ok {
+		c.blocks.mu.Lock()
+		defer c.blocks.mu.Unlock()
+		content, _ = c.blocks.loader.Piece([32]byte(raw))
+	}
+	return &schema.FetchDocumentResponse{Content: content}, nil
+}
+
+// loadBlocks loads one head after the other; a newer head replaces one that is being loaded.
+func (c *Controller) loadBlocks(ctx context.Context) {
+	round := 0
+	for ctx.Err() == nil {
+		if !c.loading(ctx) {
+			select {
+			case head := <-c.blocks.heads:
+				c.beginLoad(head)
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case head := <-c.blocks.heads:
+			c.beginLoad(head)
+			round = 0
+		default:
+		}
+		wait := fetcher.Interval
+		if c.loadPiece(ctx, round) {
+			round = 0
+		} else {
+			wait = fetcher.RetryAfter(round)
+			round++
+		}
+		if c.loading(ctx) {
+			pause(ctx, wait.Duration())
+		}
+	}
+}
+
+// loading reports whether pieces are missing, and puts a finished table in force.
+func (c *Controller) loading(ctx context.Context) bool {
+	l := c.blocks.loader
+	if l == nil {
+		return false
+	}
+	if len(l.Missing()) > 0 {
+		return true
+	}
+	table, err := l.Table()
+	if err != nil {
+		c.cfg.Log.Error().Err(err).Msg("blocks_refused")
+	} else {
+		_ = c.call(ctx, func() { c.acceptBlocks(table) })
+	}
+	c.blocks.mu.Lock()
+	defer c.blocks.mu.Unlock()
+	c.blocks.loader = nil
+	return false
+}
+
+func (c *Controller) beginLoad(head *schema.BlocksHead) {
+	if head.GetVersion() <= c.blocks.target.Load() {
+		return
+	}
+	loader, err := locator.NewLoader(head, c.Snapshot().Blocks())
+	if err != nil {
+		c.cfg.Log.Error().Err(err).Msg("blocks_head_refused")
+		return
+	}
+	c.blocks.mu.Lock()
+	defer c.blocks.mu.Unlock()
+	loader.TakeOver(c.blocks.loader)
+	c.blocks.loader = loader
+	c.blocks.target.Store(head.GetVersion())
+	c.cfg.Log.Info().Uint64("version", head.GetVersion()).Int("pieces", len(head.GetPieces())).
+		Int("missing", len(loader.Missing())).Msg("blocks_loading")
+}
+
+// acceptBlocks runs on the control goroutine.
+func (c *Controller) acceptBlocks(table *locator.Table) {
+	if table.Version() <= c.input.Blocks.Version() {
+		return
+	}
+	c.input.Blocks = table
+	c.cfg.Meter.Set("version_blocks", int64(table.Version()))
+	c.cfg.Log.Info().Str("kind", replicator.Blocks).Uint64("version", table.Version()).Msg("in_force")
+	c.publish()
+}
+
+// loadPiece reads one piece and reports whether a source had it.
+func (c *Controller) loadPiece(ctx context.Context, round int) bool {
+	peers, err := c.blockPeers(ctx)
+	if err != nil {
+		return false
+	}
+	// Only this goroutine changes the loader, so it may be read without the lock.
+	loader := c.blocks.loader
+	self := c.cfg.Self
+	q := fetcher.Query{Self: self.Name, Region: self.Region, Version: loader.Head().GetVersion(), Round: round}
+	if len(loader.Missing()) == 0 {
+		return true
+	}
+	q.Piece = fetcher.Next(q, loader.Missing(), peers)
+	for _, s := range fetcher.Sources(q, peers) {
+		content, err := c.readPiece(ctx, s, hex.EncodeToString(q.Piece[:]))
+		if err != nil || len(content) == 0 {
+			continue
+		}
+		c.blocks.mu.Lock()
+		err = loader.Add(content)
+		c.blocks.mu.Unlock()
+		if err == nil {
+			return true
+		}
+		c.cfg.Meter.Add("blocks_refused", 1)
+		c.cfg.Log.Error().Str("source", s.Address).Err(err).Msg("blocks_piece_refused")
+	}
+	return false
+}
+
+func (c *Controller) readPiece(ctx context.Context, s fetcher.Source, sha string) ([]byte, error) {
+	if s.Address != "" {
+		c.cfg.Meter.Add("blocks_from_peers", 1)
+		return c.fetchBlocks(ctx, s.Address, sha)
+	}
+	c.cfg.Meter.Add("blocks_from_store", 1)
+	obj, err := c.cfg.Store.Get(ctx, replicator.BlocksContentName(sha))
+	return obj.Value, err
+}
+
+// blockPeers returns the live hosts with their versions of the block table.
+func (c *Controller) blockPeers(ctx context.Context) (out []fetcher.Peer, err error) {
+	err = c.call(ctx, func() {
+		now := c.cfg.Clock.Now()
+		for _, m := range c.members.Members() {
+			if m.Live(now) {
+				info := m.Info()
+				out = append(out, fetcher.Peer{
+					Name: info.GetName(), Address: info.GetPeerAddress(), Region: info.GetRegion(), Version: info.GetBlocksVersion(),
+				})
+			}
+		}
+	})
+	return out, err
+}
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -53,6 +53,7 @@
 	done    chan struct{}
 	snap    atomic.Pointer[snapshotter.Snapshot]
 	limiter *limiter.Limiter
+	blocks  blockLoad
 
 	// The fields below belong to the control goroutine.
 
@@ -80,6 +81,7 @@
 		state:    schema.HostState_HOST_STATE_STARTING,
 		fetching: make(map[string]bool),
 	}
+	c.blocks.heads = make(chan *schema.BlocksHead, 4)
 	c.input = snapshotter.Input{
 		Self: cfg.Self, Config: &schema.Config{}, Keys: &schema.Keys{},
 		Drains: &schema.Drains{}, Plan: &schema.Plan{}, Hosts: []snapshotter.Host{cfg.Self},
@@ -107,6 +109,8 @@
 	}
 	go c.pollHeads(ctx)
 	go c.pollHosts(ctx)
+	go c.watchBlocks(ctx)
+	go c.loadBlocks(ctx)
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
--- a/pkg/controller/documents.go
+++ b/pkg/controller/documents.go
@@ -135,6 +135,7 @@
 		c.input.Config, err = replaceWith[schema.Config](doc, c.input.Config)
 		if err == nil {
 			c.limiter.SetLimits(limitsOf(c.input.Config), c.cfg.Clock.Now())
+			c.setSiteBlocks()
 		}
 	case replicator.Keys:
 		c.input.Keys, err = replaceWith[schema.Keys](doc, c.input.Keys)
--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/tracker"
 )
@@ -19,7 +20,7 @@
 		Name: s.Name, Incarnation: s.Incarnation, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		State: c.state, Address: s.Address, PeerAddress: s.PeerAddress, Sequence: c.sequence,
 		Versions: c.docs.Versions(), StoreContactAgeMs: age, Requests: uint64(c.cfg.Meter.Get("requests")),
-		Pools: c.cfg.Pools(),
+		Pools: c.cfg.Pools(), BlocksVersion: c.input.Blocks.Version(),
 	}
 }
 
@@ -71,6 +72,7 @@
 	if !c.members.Observe(info, c.cfg.Clock.Now()) {
 		return
 	}
+	c.noticeBlocks(ctx, info)
 	for kind, version := range info.GetVersions() {
 		if version > c.docs.Version(kind) && !c.fetching[kind] {
 			c.fetching[kind] = true
@@ -102,6 +104,9 @@
 
 // FetchDocument returns the document in force of a kind.
 func (c *Controller) FetchDocument(ctx context.Context, req *schema.FetchDocumentRequest) (resp *schema.FetchDocumentResponse, err error) {
+	if req.GetKind() == replicator.Blocks {
+		return c.serveBlocks(req)
+	}
 	resp = &schema.FetchDocumentResponse{}
 	err = c.call(ctx, func() {
 		if doc, ok := c.docs.Get(req.GetKind()); ok && doc.Head().GetVersion() >= req.GetVersion() {
--- /dev/null
+++ b/pkg/fetcher/fetcher.go
@@ -0,0 +1,162 @@
+// Package fetcher decides where a host reads the pieces of the block table, so
+// that a change loads the store a few times and not once for each host.
+package fetcher
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkindyke/pkg/clock"
+)
+
+const (
+	// Interval is the time between two pieces of a load. A first load of 512
+	// pieces takes 10 s, within the 14 s that a change may take everywhere.
+	Interval clock.Millis = 20
+	// retryInterval is the time after which a piece that no source had is asked for again.
+	retryInterval clock.Millis = 200
+	// longRetryInterval follows after patience rounds, when the store may be down for long.
+	longRetryInterval = 5 * clock.Second
+	// seeders is the number of hosts that read a piece from the store. With three,
+	// a piece stays available from a host when two of them fail at once.
+	seeders = 3
+	// patience is the number of rounds after which a host that is not a seeder
+	// reads the store too: the seeders may be cut off from it or from this host.
+	patience = 10
+)
+
+// Peer is another live host.
+type Peer struct {
+	Name    string
+	Address string
+	Region  string
+	// Version is the version of the block table that the host has in force.
+	Version uint64
+}
+
+// Query asks for the sources of a piece.
+type Query struct {
+	// Self and Region describe the asking host.
+	Self, Region string
+	// Piece is the SHA-256 of the piece.
+	Piece [32]byte
+	// Version is the version of the head that names the piece.
+	Version uint64
+	// Round counts the tries for this piece, from zero.
+	Round int
+}
+
+// Source is a place to read a piece from: the store when Address is empty.
+type Source struct {
+	Address string
+}
+
+// Sources returns where to read a piece, in order of preference.
+func Sources(q Query, peers []Peer) []Source {
+	var out []Source
+	seeder := seeds(q, peers)
+	if seeder {
+		out = append(out, Source{})
+	}
+	// Hosts of the own region that have the whole table are nearest; the choice
+	// depends on the asking host, so that the load is spread.
+	for _, near := range []bool{true, false} {
+		if p, ok := holder(q, peers, near); ok {
+			out = append(out, Source{p.Address})
+		}
+	}
+	first := len(out)
+	for _, p := range top(q, peers) {
+		out = append(out, Source{p.Address})
+	}
+	spread(out[first:], q)
+	if !seeder && q.Round >= patience {
+		out = append(out, Source{})
+	}
+	return out
+}
+
+// RetryAfter returns the pause after a round in which no source had the piece.
+func RetryAfter(round int) clock.Millis {
+	if round < patience {
+		return retryInterval
+	}
+	return longRetryInterval
+}
+
+// ranksAbove reports whether a host comes before another in the rendezvous order of a piece.
+func ranksAbove(a, b string, piece [32]byte) bool {
+	return cmp.Or(cmp.Compare(score(a, piece), score(b, piece)), cmp.Compare(b, a)) > 0
+}
+
+// seeds reports whether the asking host reads the piece from the store.
+func seeds(q Query, peers []Peer) bool {
+	above := 0
+	for _, p := range peers {
+		if ranksAbove(p.Name, q.Self, q.Piece) {
+			if above++; above == seeders {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// top returns the peers that come first in the rendezvous order of the piece.
+func top(q Query, peers []Peer) []Peer {
+	out := make([]Peer, 0, seeders+1)
+	for _, p := range peers {
+		at := len(out)
+		for at > 0 && ranksAbove(p.Name, out[at-1].Name, q.Piece) {
+			at--
+		}
+		if at < seeders {
+			out = slices.Insert(out, at, p)
+			out = out[:min(seeders, len(out))]
+		}
+	}
+	return out
+}
+
+func score(name string, piece [32]byte) uint64 {
+	return xxhash.Sum64String(name + "\x00" + string(piece[:]))
+}
+
+// holder returns a host that has the table of the version, near or in another region.
+func holder(q Query, peers []Peer, near bool) (best Peer, ok bool) {
+	var high uint64
+	for _, p := range peers {
+		if p.Version < q.Version || (p.Region == q.Region) != near {
+			continue
+		}
+		if s := score(q.Self+"\x00"+p.Name+string(rune('a'+q.Round%26)), q.Piece); !ok || s > high {
+			best, high, ok = p, s, true
+		}
+	}
+	return best, ok
+}
+
+// spread starts the list of seeders at another place for each asking host.
+func spread(list []Source, q Query) {
+	if len(list) == 0 {
+		return
+	}
+	n := int((score(q.Self, q.Piece) + uint64(q.Round)) % uint64(len(list)))
+	slices.Reverse(list[:n])
+	slices.Reverse(list[n:])
+	slices.Reverse(list)
+}
+
+// Next picks the piece to load next: those that the host reads from the store
+// come first, because other hosts wait for them.
+func Next(q Query, missing [][32]byte, peers []Peer) [32]byte {
+	for _, piece := range missing {
+		q.Piece = piece
+		if seeds(q, peers) {
+			return piece
+		}
+	}
+	return missing[score(q.Self, [32]byte{})%uint64(len(missing))]
+}
--- /dev/null
+++ b/pkg/fetcher/fetcher_test.go
@@ -0,0 +1,83 @@
+package fetcher
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+)
+
+func fleet(n int, version uint64) []Peer {
+	out := make([]Peer, n)
+	for i := range out {
+		out[i] = Peer{Name: fmt.Sprintf("host-%d", i), Address: fmt.Sprintf("addr-%d", i), Region: fmt.Sprintf("region-%d", i%7), Version: version}
+	}
+	return out
+}
+
+func without(peers []Peer, i int) []Peer {
+	return append(append([]Peer{}, peers[:i]...), peers[i+1:]...)
+}
+
+// TestStoreReads guards against a change that every host reads from the store.
+func TestStoreReads(t *testing.T) {
+	for _, n := range []int{1, 2, 8, 300} {
+		peers := fleet(n, 1)
+		for piece := range 20 {
+			sum := sha256.Sum256([]byte{byte(piece)})
+			reads := 0
+			for i, p := range peers {
+				q := Query{Self: p.Name, Region: p.Region, Piece: sum, Version: 2}
+				sources := Sources(q, without(peers, i))
+				if len(sources) == 0 {
+					t.Fatalf("%s has no source", p.Name)
+				}
+				for _, s := range sources {
+					if s.Address == p.Address {
+						t.Fatalf("%s asks itself", p.Name)
+					}
+					if s.Address == "" {
+						reads++
+					}
+				}
+			}
+			if reads != min(n, seeders) {
+				t.Errorf("%d hosts: %d read piece %d from the store", n, reads, piece)
+			}
+		}
+	}
+}
+
+// TestPatience guards against a host that never loads a piece because the
+// seeders are out of reach, and one that ignores hosts with the whole table.
+func TestPatience(t *testing.T) {
+	peers := fleet(50, 2)
+	q := Query{Self: "host-x", Region: "region-3", Version: 2, Round: patience}
+	for piece := range 20 {
+		q.Piece = sha256.Sum256([]byte{byte(piece)})
+		sources := Sources(q, peers)
+		store, near := false, false
+		for _, s := range sources {
+			store = store || s.Address == ""
+			for _, p := range peers {
+				near = near || p.Address == s.Address && p.Region == q.Region
+			}
+		}
+		if !store || !near {
+			t.Errorf("piece %d: store %v, own region %v in %v", piece, store, near, sources)
+		}
+	}
+}
+
+// TestNext guards against seeders that load their own pieces last while others wait.
+func TestNext(t *testing.T) {
+	peers := fleet(40, 1)
+	var missing [][32]byte
+	for piece := range 60 {
+		missing = append(missing, sha256.Sum256([]byte{byte(piece)}))
+	}
+	q := Query{Self: "host-0", Version: 2}
+	q.Piece = Next(q, missing, peers[1:])
+	if Sources(q, peers[1:])[0].Address != "" {
+		t.Error("the first piece is not read from the store although the host is a seeder of some")
+	}
+}
--- a/pkg/locator/bench_test.go
+++ b/pkg/locator/bench_test.go
@@ -148,7 +148,7 @@
 // BenchmarkStructures compares memory and look-up time with all cores reading.
 // Run with -bench Structures -benchtime 2000000x.
 func BenchmarkStructures(b *testing.B) {
-	for _, share := range []float64{0, 0.2} {
+	for _, share := range []float64{0, 0.2, 1} {
 		blocks := randomBlocks(designBlocks, share)
 		pieces := Split(blocks)
 		addrs := make([]netip.Addr, 1<<16)
--- a/pkg/locator/loader.go
+++ b/pkg/locator/loader.go
@@ -54,6 +54,9 @@
 
 // Piece returns a piece that was already added or taken over.
 func (l *Loader) Piece(name [sha256.Size]byte) ([]byte, bool) {
+	if l == nil {
+		return nil, false
+	}
 	p := l.parts[name]
 	if p == nil {
 		return nil, false
@@ -102,3 +105,19 @@
 	}
 	return t, nil
 }
+
+// TakeOver takes parts that another loader has already decoded, when a newer
+// head arrives before all pieces of the older one.
+func (l *Loader) TakeOver(prev *Loader) {
+	if prev == nil || !samePrefix(prev.head.GetSites(), l.head.GetSites()) {
+		return
+	}
+	for i, entry := range l.head.GetPieces() {
+		name := sum(entry.GetSha256())
+		p := prev.parts[name]
+		if at := slices.Index(l.missing, name); at >= 0 && p != nil && p.span == l.spans[i] {
+			l.parts[name] = p
+			l.missing = slices.Delete(l.missing, at, at+1)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/locator/text.go
@@ -0,0 +1,153 @@
+package locator
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+
+	"catkindyke/pkg/schema"
+)
+
+// ErrText says that a line of a block file cannot be used.
+var ErrText = errors.New("bad block file")
+
+// maxTextErrors bounds the errors that are reported for one file.
+const maxTextErrors = 10
+
+// SiteIndex gives site names their indexes. Known names keep theirs.
+type SiteIndex struct {
+	names   []string
+	indexes map[string]uint16
+}
+
+// NewSiteIndex returns an index that starts with the given names.
+func NewSiteIndex(names []string) *SiteIndex {
+	s := &SiteIndex{indexes: make(map[string]uint16)}
+	for _, n := range names {
+		s.Add(n)
+	}
+	return s
+}
+
+// Add returns the index of a name, which is added when it is new.
+func (s *SiteIndex) Add(name string) uint16 {
+	i, ok := s.indexes[name]
+	if !ok {
+		i = uint16(len(s.names))
+		s.names = append(s.names, name)
+		s.indexes[name] = i
+	}
+	return i
+}
+
+// Names returns the names in order of their indexes.
+func (s *SiteIndex) Names() []string { return s.names }
+
+// ParseText reads a file with a CIDR block and a site on each line. Empty lines
+// and text after # are skipped. The allowed function, when set, says which
+// sites exist. Errors name the file, the line and the value.
+func ParseText(name string, r io.Reader, sites *SiteIndex, allowed func(site string) bool) ([]Block, error) {
+	var out []Block
+	var errs []error
+	lines := make(map[netip.Prefix]int)
+	scanner := bufio.NewScanner(r)
+	n := 0
+	for scanner.Scan() && len(errs) < maxTextErrors {
+		n++
+		text, _, _ := strings.Cut(scanner.Text(), "#")
+		fields := strings.Fields(text)
+		if len(fields) == 0 {
+			continue
+		}
+		b, err := parseLine(fields, sites, allowed)
+		if err == nil && lines[b.Prefix] > 0 {
+			err = fmt.Errorf("block %q is already on line %d", fields[0], lines[b.Prefix])
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%w: %s:%d: %w", ErrText, name, n, err))
+			continue
+		}
+		lines[b.Prefix] = n
+		out = append(out, b)
+	}
+	if err := scanner.Err(); err != nil {
+		errs = append(errs, fmt.Errorf("%w: %s:%d: %w", ErrText, name, n+1, err))
+	}
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
+	}
+	return Sort(out)
+}
+
+func parseLine(fields []string, sites *SiteIndex, allowed func(string) bool) (Block, error) {
+	if len(fields) != 2 {
+		return Block{}, fmt.Errorf("want a CIDR block and a site, got %q", strings.Join(fields, " "))
+	}
+	prefix, err := ParseBlock(fields[0])
+	if err != nil {
+		return Block{}, err
+	}
+	site := fields[1]
+	if len(site) > MaxSiteName {
+		return Block{}, fmt.Errorf("site name of %d bytes is over %d", len(site), MaxSiteName)
+	}
+	if allowed != nil && !allowed(site) {
+		return Block{}, fmt.Errorf("site %q is not in the configuration in force", site)
+	}
+	if _, known := sites.indexes[site]; !known && len(sites.names) == MaxSites {
+		return Block{}, fmt.Errorf("site %q is one more than %d", site, MaxSites)
+	}
+	return Block{prefix, sites.Add(site)}, nil
+}
+
+// ParseBlock reads a CIDR block. Bits after the prefix must be zero, because a
+// block such as 192.0.2.1/24 is more often a mistake than meant.
+func ParseBlock(s string) (netip.Prefix, error) {
+	p, err := netip.ParsePrefix(s)
+	if err != nil {
+		return p, fmt.Errorf("%q is not a CIDR block such as 192.0.2.0/24", s)
+	}
+	if p.Addr().Is4In6() {
+		return p, fmt.Errorf("block %q is IPv4 in IPv6 form; write it as IPv4", s)
+	}
+	if p.Masked() != p {
+		return p, fmt.Errorf("block %q has bits after its prefix; did you mean %s?", s, p.Masked())
+	}
+	return p, nil
+}
+
+// FromSites makes a table of the blocks that the configuration lists, for
+// deployments without a block file. It returns nil when there are none.
+func FromSites(sites []*schema.Site) (*Table, error) {
+	index := NewSiteIndex(nil)
+	var blocks []Block
+	for _, s := range sites {
+		for _, text := range s.GetBlocks() {
+			prefix, err := ParseBlock(text)
+			if err != nil {
+				return nil, fmt.Errorf("site %s: %w", s.GetName(), err)
+			}
+			blocks = append(blocks, Block{prefix, index.Add(s.GetName())})
+		}
+	}
+	blocks, err := Sort(blocks)
+	if err != nil || len(blocks) == 0 {
+		return nil, err
+	}
+	pieces := Split(blocks)
+	head := NewHead(index.Names(), pieces)
+	head.Version = 1
+	l, err := NewLoader(head, nil)
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range pieces {
+		if err := l.Add(p.Content()); err != nil {
+			return nil, err
+		}
+	}
+	return l.Table()
+}
--- /dev/null
+++ b/pkg/publisher/blocks.go
@@ -0,0 +1,133 @@
+package publisher
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/locator"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+const (
+	// pieceInterval leaves most of the store's several hundred writes a second to hosts.
+	pieceInterval = 10 * time.Millisecond
+	// pieceAttempts is how often the write of a piece is tried.
+	pieceAttempts = 5
+)
+
+// BlocksResult says what a change of the block table wrote.
+type BlocksResult struct {
+	Head *schema.BlocksHead
+	// Written is the number of pieces that were not in the table before.
+	Written int
+	// Bytes is the size of the written pieces.
+	Bytes int
+	// Changed is false when the table in force already has the same blocks.
+	Changed bool
+}
+
+// ReadBlocksHead returns the head of the block table; a table never written gives version 0.
+func (p *Publisher) ReadBlocksHead(ctx context.Context) (*schema.BlocksHead, error) {
+	obj, err := p.store.Get(ctx, replicator.BlocksHead)
+	if errors.Is(err, storeclient.ErrNotFound) {
+		return &schema.BlocksHead{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return locator.DecodeHead(obj.Value)
+}
+
+// WriteBlocks writes the pieces that the old head lacks and then the new head,
+// if the table is still at the old version. The site indexes must extend those
+// of the old head.
+func (p *Publisher) WriteBlocks(ctx context.Context, old *schema.BlocksHead, sites []string, blocks []locator.Block, summary string) (BlocksResult, error) {
+	pieces := locator.Split(blocks)
+	head := locator.NewHead(sites, pieces)
+	head.Version, head.AttemptId, head.Summary = old.GetVersion()+1, newAttemptID(), summary
+	if old.GetVersion() > 0 {
+		ids := append([]string{old.GetAttemptId()}, old.GetEarlierAttemptIds()...)
+		head.EarlierAttemptIds = ids[:min(len(ids), rememberedAttempts)]
+	}
+	res := BlocksResult{Head: head}
+	have := make(map[string]bool)
+	for _, entry := range old.GetPieces() {
+		have[hex.EncodeToString(entry.GetSha256())] = true
+	}
+	for _, piece := range pieces {
+		name := replicator.Sum(piece.Content())
+		if have[name] {
+			continue
+		}
+		if err := p.writePiece(ctx, replicator.BlocksContentName(name), piece.Content()); err != nil {
+			return res, err
+		}
+		res.Written++
+		res.Bytes += len(piece.Content())
+	}
+	if old.GetVersion() > 0 && res.Written == 0 && len(pieces) == len(old.GetPieces()) && len(sites) == len(old.GetSites()) {
+		res.Head = old
+		return res, nil
+	}
+	res.Changed = true
+	value, err := proto.Marshal(head)
+	if err != nil {
+		return res, err
+	}
+	return res, p.writeBlocksHead(ctx, head, value, old.GetVersion())
+}
+
+func (p *Publisher) writePiece(ctx context.Context, name string, content []byte) error {
+	var last error
+	for attempt := range pieceAttempts {
+		pause(ctx, pieceInterval<<(2*attempt))
+		_, err := p.store.Put(ctx, name, content, 0)
+		// A piece is named by its content, so a conflict means that it is already there.
+		if err == nil || errors.Is(err, storeclient.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, storeclient.ErrUnavailable) {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+// writeBlocksHead repeats the same conditional update until its outcome is
+// known, as writeHead does for documents.
+func (p *Publisher) writeBlocksHead(ctx context.Context, head *schema.BlocksHead, value []byte, ifVersion uint64) error {
+	var err error
+	for try := range writeAttempts {
+		if try > 0 {
+			pause(ctx, retryWait)
+		}
+		_, err = p.store.Put(ctx, replicator.BlocksHead, value, ifVersion)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, storeclient.ErrConflict) {
+			now, readErr := p.ReadBlocksHead(ctx)
+			if readErr != nil {
+				err = readErr
+				continue
+			}
+			if now.GetAttemptId() == head.GetAttemptId() || slices.Contains(now.GetEarlierAttemptIds(), head.GetAttemptId()) {
+				return nil
+			}
+			return fmt.Errorf("%w: blocks are at version %d: %s", ErrConflict, now.GetVersion(), now.GetSummary())
+		}
+		if !errors.Is(err, storeclient.ErrUnavailable) {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: %v", ErrUnknown, err)
+}
--- /dev/null
+++ b/pkg/runner/blocks_test.go
@@ -0,0 +1,140 @@
+package runner
+
+import (
+	"context"
+	"encoding/hex"
+	"net/netip"
+	"testing"
+	"time"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/locator"
+	"catkindyke/pkg/replicator"
+)
+
+var blockSites = []string{"odense", "ribe"}
+
+// manyBlocks returns enough blocks for several pieces; all belong to one site.
+func manyBlocks(site uint16) []locator.Block {
+	out := make([]locator.Block, 40_000)
+	for i := range out {
+		addr := netip.AddrFrom4([4]byte{byte(i >> 8), byte(i), byte(i % 7 * 2), 0})
+		out[i] = locator.Block{Prefix: netip.PrefixFrom(addr, 24), Site: site}
+	}
+	out, _ = locator.Sort(out)
+	return out
+}
+
+func (fl *fleet) writeBlocks(blocks []locator.Block) uint64 {
+	fl.t.Helper()
+	old, err := fl.pub.ReadBlocksHead(context.Background())
+	assertNoError(fl.t, err, "read head")
+	res, err := fl.pub.WriteBlocks(context.Background(), old, blockSites, blocks, "test")
+	assertNoError(fl.t, err, "write blocks")
+	return res.Head.GetVersion()
+}
+
+func (fl *fleet) blocksInForce(version uint64) func() bool {
+	return func() bool {
+		for _, h := range fl.hosts {
+			if h.Snapshot().Blocks().Version() < version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (fl *fleet) sum(counter string) (n int64) {
+	for _, h := range fl.hosts {
+		n += h.Meter().Get(counter)
+	}
+	return n
+}
+
+// TestBlocksReachAll guards against a table that does not reach all hosts in
+// time, or that each host reads from the store.
+func TestBlocksReachAll(t *testing.T) {
+	withFleet(t, 12, func(fl *fleet) {
+		blocks := manyBlocks(0)
+		pieces := int64(len(locator.Split(blocks)))
+		took := fl.waitFor("first table", inForceLimit, fl.blocksInForce(fl.writeBlocks(blocks)))
+		t.Logf("%d pieces in force after %s", pieces, took)
+		if got := fl.sum("blocks_from_store"); got > 3*pieces {
+			t.Errorf("%d reads of %d pieces from the store, want at most 3 each", got, pieces)
+		}
+		blocks[7].Site = 1
+		fl.waitFor("change", inForceLimit, fl.blocksInForce(fl.writeBlocks(blocks)))
+		if got := fl.sum("blocks_from_store"); got > 3*(pieces+1) {
+			t.Errorf("%d reads from the store after a change of one piece", got)
+		}
+	})
+}
+
+// TestBlocksWithSilentWatches guards against hosts that rely on watches alone.
+func TestBlocksWithSilentWatches(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.platform.SetFaults(emulator.Faults{SilentWatches: true})
+		fl.waitFor("table", inForceLimit, fl.blocksInForce(fl.writeBlocks(manyBlocks(0))))
+	})
+}
+
+// TestBlocksFromPeers guards against a host started in a store outage that
+// stays without the table, and against hosts that lose it in an outage.
+func TestBlocksFromPeers(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		version := fl.writeBlocks(manyBlocks(0))
+		fl.waitFor("table", inForceLimit, fl.blocksInForce(version))
+		fl.platform.SetFaults(emulator.Faults{Down: true})
+		fl.startWithSeeds("late", testPlaces[0], "host-1:2")
+		fl.waitFor("late host", inForceLimit, fl.blocksInForce(version))
+		time.Sleep(10 * time.Minute)
+		if !fl.blocksInForce(version)() {
+			t.Error("a host lost its table")
+		}
+	})
+}
+
+// TestCorruptPiece guards against a table that comes into force with a corrupt or missing piece.
+func TestCorruptPiece(t *testing.T) {
+	for name, value := range map[string][]byte{"corrupt": []byte("x"), "missing": nil} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 4, func(fl *fleet) {
+				fl.waitFor("table", inForceLimit, fl.blocksInForce(fl.writeBlocks(manyBlocks(0))))
+				blocks := manyBlocks(0)
+				blocks[7].Site = 1
+				sum := locator.Split(blocks)[0].Sum()
+				object := replicator.BlocksContentName(hex.EncodeToString(sum[:]))
+				_, err := fl.store.Put(context.Background(), object, []byte("x"), 0)
+				assertNoError(t, err, "spoil piece")
+				version := fl.writeBlocks(blocks)
+				if value == nil {
+					assertNoError(t, fl.store.Delete(context.Background(), object, 1), "delete piece")
+				}
+				time.Sleep(time.Minute)
+				for name, h := range fl.hosts {
+					if got := h.Snapshot().Blocks().Version(); got != version-1 {
+						t.Errorf("%s has version %d in force, want %d", name, got, version-1)
+					}
+				}
+				blocks[7].Site, blocks[8].Site = 0, 1
+				fl.waitFor("next version", inForceLimit, fl.blocksInForce(fl.writeBlocks(blocks)))
+			})
+		})
+	}
+}
+
+// TestBlocksLostAnswers guards against a change that fails or is made twice when answers of the store are lost.
+func TestBlocksLostAnswers(t *testing.T) {
+	withFleet(t, 1, func(fl *fleet) {
+		fl.platform.SetFaults(emulator.Faults{LoseWriteAnswers: 9})
+		if got := fl.writeBlocks(manyBlocks(0)); got != 1 {
+			t.Errorf("version %d, want 1", got)
+		}
+		obj, err := fl.store.Get(context.Background(), replicator.BlocksHead)
+		assertNoError(t, err, "read head")
+		if obj.Version != 1 {
+			t.Errorf("head was written %d times", obj.Version)
+		}
+	})
+}
--- a/pkg/snapshotter/snapshotter.go
+++ b/pkg/snapshotter/snapshotter.go
@@ -9,6 +9,7 @@
 
 	"catkindyke/pkg/authenticator"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/locator"
 	"catkindyke/pkg/schema"
 )
 
@@ -34,6 +35,10 @@
 	Keys     *schema.Keys
 	Drains   *schema.Drains
 	Plan     *schema.Plan
+	// Blocks is the table of client blocks in force, nil for none.
+	Blocks *locator.Table
+	// SiteBlocks is the table of the blocks that the configuration lists.
+	SiteBlocks *locator.Table
 	// Hosts are the live hosts, the host itself included.
 	Hosts []Host
 	// Ready says that the host has a configuration in force.
@@ -48,6 +53,7 @@
 	in       Input
 	auth     *authenticator.Authenticator
 	services map[string]*Service
+	sites    map[string]*schema.Site
 	trusted  []netip.Prefix
 }
 
@@ -59,7 +65,10 @@
 
 // Build makes a snapshot. The input must not be changed afterwards.
 func Build(in Input) *Snapshot {
-	s := &Snapshot{in: in, auth: authenticator.New(in.Keys), services: make(map[string]*Service)}
+	s := &Snapshot{in: in, auth: authenticator.New(in.Keys), services: make(map[string]*Service), sites: make(map[string]*schema.Site)}
+	for _, site := range in.Config.GetSites() {
+		s.sites[site.GetName()] = site
+	}
 	for _, cfg := range in.Config.GetServices() {
 		svc := &Service{cfg: cfg, byRegion: make(map[string][]*schema.BackendServer)}
 		for _, b := range cfg.GetBackendServers() {
@@ -96,6 +105,24 @@
 // Plan returns the plan in force.
 func (s *Snapshot) Plan() *schema.Plan { return s.in.Plan }
 
+// Blocks returns the table of client blocks in force.
+func (s *Snapshot) Blocks() *locator.Table { return s.in.Blocks }
+
+// Site returns the site of a client address. The table of blocks comes first;
+// blocks in the configuration serve addresses that the table lacks. There is
+// no site when no block matches or the configuration does not have the site.
+func (s *Snapshot) Site(addr netip.Addr) (*schema.Site, bool) {
+	name, ok := s.in.Blocks.Lookup(addr)
+	if !ok {
+		name, ok = s.in.SiteBlocks.Lookup(addr)
+	}
+	if !ok {
+		return nil, false
+	}
+	site, ok := s.sites[name]
+	return site, ok
+}
+
 // Versions returns the document versions in force, by kind.
 func (s *Snapshot) Versions() map[string]uint64 { return s.in.Versions }
 
