Answer look-ups by site, plan and rendezvous hashing

Cause: a look-up named the answering host's region whatever the caller's address was, and listed every host of the fleet.

The site's region and a weighted rendezvous hash of the caller's /24 or /48 choose the serving region; hosts follow by rendezvous hashing, own availability zone first, then other zones and regions, 12 at most.

--- /dev/null
+++ b/pkg/limiter/sources.go
@@ -0,0 +1,96 @@
+package limiter
+
+import (
+	"encoding/binary"
+	"hash/maphash"
+	"net/netip"
+	"sync"
+
+	"catkindyke/pkg/clock"
+)
+
+const (
+	// sourceShards and sourceWays bound the memory to 16,384 sources of 24 bytes.
+	sourceShards = 64
+	sourceSets   = 64
+	sourceWays   = 4
+)
+
+// Sources limits the rate of each source address in a table of fixed size. A
+// source whose bucket is full again needs no entry, so the fullest entry of a
+// set gives way to a new source. When more sources are active than the table
+// holds, some are limited less than they should be, and none more.
+type Sources struct {
+	seed   maphash.Seed
+	shards [sourceShards]sourceShard
+}
+
+type sourceShard struct {
+	mu   sync.Mutex
+	sets [sourceSets][sourceWays]source
+}
+
+// source is the bucket of one address. An entry with a zero key is free.
+type source struct {
+	key uint64
+	// spent is the number of tokens that the bucket lacks, at the time at.
+	spent float64
+	at    clock.Millis
+}
+
+// NewSources returns an empty table. Its hash is seeded at random, so that
+// callers cannot choose addresses that share a set.
+func NewSources() *Sources {
+	return &Sources{seed: maphash.MakeSeed()}
+}
+
+// Admit takes a token for an address, or says when to try again. All addresses
+// of an IPv6 /64 are one source, because one caller can have them all.
+func (s *Sources) Admit(addr netip.Addr, limit Limit, now clock.Millis) (bool, clock.Millis) {
+	if limit.RatePerSecond <= 0 {
+		return true, 0
+	}
+	key := s.key(addr)
+	shard := &s.shards[key%sourceShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	e := find(&shard.sets[key/sourceShards%sourceSets], key, limit.RatePerSecond, now)
+	if e.spent+1 <= limit.Burst {
+		e.spent++
+		return true, 0
+	}
+	return false, clock.Millis((e.spent+1-limit.Burst)/limit.RatePerSecond*1000) + 1
+}
+
+func (s *Sources) key(addr netip.Addr) uint64 {
+	raw := addr.As16()
+	n := 16
+	if addr.Is6() && !addr.Is4In6() {
+		n = 8
+	}
+	var h maphash.Hash
+	h.SetSeed(s.seed)
+	_, _ = h.Write(raw[:n])
+	_, _ = h.Write(binary.LittleEndian.AppendUint32(nil, uint32(n)))
+	return max(h.Sum64(), 1)
+}
+
+// find returns the entry of a key, refilled until now; a missing one replaces the fullest.
+func find(set *[sourceWays]source, key uint64, rate float64, now clock.Millis) *source {
+	best := &set[0]
+	for i := range set {
+		e := &set[i]
+		if now > e.at {
+			e.spent = max(0, e.spent-rate*float64(now-e.at)/1000)
+			e.at = now
+		}
+		if e.key == key {
+			return e
+		}
+		if e.spent < best.spent {
+			best = e
+		}
+	}
+	*best = source{key: key, at: now}
+	return best
+}
--- a/pkg/resolver/resolver.go
+++ b/pkg/resolver/resolver.go
@@ -1,72 +1,170 @@
-// Package resolver answers look-ups: which entry hosts a caller should use.
 package resolver
 
 import (
 	"cmp"
 	"errors"
+	"net/netip"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"catkindyke/pkg/clock"
-	"catkindyke/pkg/snapshotter"
 )
 
-// ErrUnknownService says that no service has the name.
-var ErrUnknownService = errors.New("unknown service")
+// Errors that callers test with errors.Is.
+var (
+	// ErrUnknownService says that no service has the name.
+	ErrUnknownService = errors.New("unknown service")
+	// ErrNoHost says that every known host leaves or is drained.
+	ErrNoHost = errors.New("no host is in service")
+)
 
-// DefaultAge is the age of an answer when the configuration names none.
-const DefaultAge = 5 * clock.Second
+const (
+	// MaxHosts bounds the hosts of an answer. It names all hosts of a fleet of 12.
+	MaxHosts = 12
+	// maxInZone and maxInRegion bound the hosts of the first availability zone and
+	// of the others in its region, so that an answer of a large fleet reaches
+	// other zones and regions too.
+	maxInZone   = 3
+	maxInRegion = 3
+)
 
 // Answer is an ordered list of hosts with the time after which to ask again.
 type Answer struct {
 	Service string
-	Region  string
+	// Home is the region of the caller's site.
+	Home string
+	// Region is the serving region.
+	Region string
+	// Matched says that a block matched; otherwise Home is the answering host's region.
+	Matched bool
 	Age     clock.Millis
-	Hosts   []snapshotter.Host
-}
 
-// Query is a look-up.
-type Query struct {
-	Service string
-	// Block identifies the caller's block of addresses.
-	Block string
-	// Region is the region nearest to the caller.
-	Region string
+	hosts [MaxHosts]*Host
+	count int
 }
 
-// Resolve orders the hosts by region, then by rendezvous hashing on the block,
-// so that a change of one host moves few blocks.
-func Resolve(snap *snapshotter.Snapshot, q Query) (Answer, error) {
-	if _, ok := snap.Service(q.Service); !ok {
+// Hosts returns the hosts in order of preference.
+func (a *Answer) Hosts() []*Host { return a.hosts[:a.count] }
+
+// Resolve answers a look-up for the caller at an address.
+func (x *Index) Resolve(service string, addr netip.Addr) (Answer, error) {
+	if _, ok := x.snap.Service(service); !ok {
 		return Answer{}, ErrUnknownService
 	}
-	type scored struct {
-		host  snapshotter.Host
-		rank  int
-		score uint64
+	if len(x.hosts) == 0 {
+		return Answer{}, ErrNoHost
 	}
-	var list []scored
-	for _, h := range snap.Hosts() {
-		if h.Leaving {
-			continue
+	a := Answer{Service: service, Home: x.snap.Self().Region, Age: x.age}
+	addr = addr.Unmap()
+	if site, ok := x.snap.Site(addr); ok && site.GetRegion() != "" {
+		a.Home, a.Matched = site.GetRegion(), true
+	}
+	block := blockHash(addr)
+	order := x.regionOrder(service, a.Home, block)
+	a.Region = order[0].name
+	x.fill(&a, order, block)
+	return a, nil
+}
+
+// regionOrder returns the regions in order of preference: the serving region by
+// the plan's weights first, then the others of the plan, then all with hosts.
+// Without a plan the home region serves while it has hosts.
+func (x *Index) regionOrder(service, home string, block uint64) []*region {
+	type ranked struct {
+		region *region
+		tier   int
+		value  float64
+	}
+	list := make([]ranked, 0, len(x.regions))
+	planned := x.routes[routeKey{service, home}]
+	for _, r := range x.regions {
+		e := ranked{r, 2, rank(r.hash, block, 1)}
+		for _, c := range planned {
+			if c.region == r {
+				e.tier, e.value = 0, rank(r.hash, block, c.weight)
+			}
+		}
+		if e.tier == 2 && r.name == home {
+			e.tier = 1
+		}
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.value, b.value)) })
+	out := make([]*region, len(list))
+	for i, e := range list {
+		out[i] = e.region
+	}
+	return out
+}
+
+// fill adds the hosts of the serving region, own availability zone first, and
+// then hosts of the other regions.
+func (x *Index) fill(a *Answer, order []*region, block uint64) {
+	inZone, inRegion := maxInZone, maxInRegion
+	if len(x.hosts) <= MaxHosts {
+		inZone, inRegion = MaxHosts, MaxHosts
+	}
+	serving := order[0]
+	var buf [256]float64
+	ranks := buf[:0]
+	if len(serving.hosts) > len(buf) {
+		ranks = make([]float64, 0, len(serving.hosts))
+	}
+	first := 0
+	for i, h := range serving.hashes {
+		if serving.uniform {
+			ranks = append(ranks, -float64(mix(h, block)))
+		} else {
+			ranks = append(ranks, rank(h, block, serving.weights[i]))
 		}
-		rank := 1
-		if h.Region == q.Region {
-			rank = 0
+		if ranks[i] < ranks[first] {
+			first = i
 		}
-		list = append(list, scored{h, rank, xxhash.Sum64String(h.Name + "\x00" + q.Block)})
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.score, a.score), cmp.Compare(a.host.Name, b.host.Name))
-	})
-	age := clock.Millis(snap.Config().GetSettings().GetLookupAgeMs())
-	if age == 0 {
-		age = DefaultAge
+	zone := serving.zones[first]
+	a.add(serving, inZone, ranks, func(i int) bool { return serving.zones[i] == zone })
+	a.add(serving, inRegion, ranks, func(i int) bool { return serving.zones[i] != zone })
+	for i, r := range order[1:] {
+		others := len(order) - 1 - i
+		a.addAbroad(r, (MaxHosts-a.count+others-1)/others, block)
+	}
+}
+
+// add appends up to n hosts of a region that the filter takes, those with the lowest rank first.
+func (a *Answer) add(r *region, n int, ranks []float64, filter func(i int) bool) {
+	var best [MaxHosts]float64
+	n = min(n, MaxHosts-a.count)
+	list, count := a.hosts[a.count:], 0
+	for i, v := range ranks {
+		if count == n && (n == 0 || v >= best[n-1]) || !filter(i) {
+			continue
+		}
+		at := min(count, n-1)
+		for ; at > 0 && v < best[at-1]; at-- {
+			list[at], best[at] = list[at-1], best[at-1]
+		}
+		list[at], best[at] = r.hosts[i], v
+		count = min(count+1, n)
 	}
-	out := Answer{Service: q.Service, Region: q.Region, Age: age}
-	for _, s := range list {
-		out.Hosts = append(out.Hosts, s.host)
+	a.count += count
+}
+
+// addAbroad appends up to n hosts of a region by plain rendezvous hashing; the
+// highest hash comes first.
+func (a *Answer) addAbroad(r *region, n int, block uint64) {
+	var best [MaxHosts]uint64
+	n = min(n, MaxHosts-a.count)
+	list, count := a.hosts[a.count:], 0
+	for i, h := range r.hashes {
+		v := mix(h, block)
+		if count == n && (n == 0 || v <= best[n-1]) {
+			continue
+		}
+		at := min(count, n-1)
+		for ; at > 0 && v > best[at-1]; at-- {
+			list[at], best[at] = list[at-1], best[at-1]
+		}
+		list[at], best[at] = r.hosts[i], v
+		count = min(count+1, n)
 	}
-	return out, nil
+	a.count += count
 }
--- a/service/apiserver/convert.go
+++ b/service/apiserver/convert.go
@@ -4,18 +4,9 @@
 	"expvar"
 
 	"catkindyke/pkg/meter"
-	"catkindyke/pkg/resolver"
 	"catkindyke/pkg/snapshotter"
 )
 
-func convertAnswer(a resolver.Answer) LookupAnswer {
-	out := LookupAnswer{Service: a.Service, Region: a.Region, AgeMs: int64(a.Age), Hosts: []LookupHost{}}
-	for _, h := range a.Hosts {
-		out.Hosts = append(out.Hosts, LookupHost{h.Name, h.Address, h.Region, h.AvailabilityZone})
-	}
-	return out
-}
-
 func convertStatus(snap *snapshotter.Snapshot, m *meter.Meter) Status {
 	out := Status{Host: snap.Self().Name, Ready: snap.Ready(), Versions: snap.Versions(), Metrics: map[string]int64{}}
 	for _, h := range snap.Hosts() {
