Add the capacity measurement

Cause: the budget of the design scale was not compared with measured slopes.

Change: _scripts/capacity runs the real control code of up to 199 hosts in one process, with drpc over pipes in memory and the emulated platform, at several numbers of hosts, workspaces, blocks and changes; it fits slopes with their errors, extrapolates and compares each line with the budget.

--- /dev/null
+++ b/_scripts/capacity/fleet.go
@@ -0,0 +1,360 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"catkindyke/pkg/dialer"
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/locator"
+	"catkindyke/pkg/logger"
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/runner"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+// setup is one point of a sweep.
+type setup struct{ hosts, workspaces, blocks, changes int }
+
+// point is what one host costs in a setup; rates are for each second.
+type point struct {
+	x                                        float64
+	bytes, messages, reads, writes           float64
+	cpuPercent, heapMB, loadSeconds, loadedB float64
+	inForceMs, lookupUs                      float64
+}
+
+const header = "        x  sent_B/s  messages/s  store_reads/s  store_writes/s  cpu_%  heap_MB  blocks_load_s  blocks_sent_B  in_force_ms  lookup_cpu_us"
+
+func (p point) String() string {
+	return fmt.Sprintf("%9.0f  %8.0f  %10.1f  %13.2f  %14.2f  %5.2f  %7.2f  %13.2f  %13.0f  %11.0f  %13.2f", p.x, p.bytes,
+		p.messages, p.reads, p.writes, p.cpuPercent, p.heapMB, p.loadSeconds, p.loadedB, p.inForceMs, p.lookupUs)
+}
+
+// fleet runs hosts whose calls to each other are real drpc over pipes in memory.
+type fleet struct {
+	hosts    []*runner.Host
+	names    map[string]*runner.Host
+	store    *httptest.Server
+	pub      *publisher.Publisher
+	sent     atomic.Int64
+	messages atomic.Int64
+
+	mu      sync.Mutex
+	conns   map[[2]string]drpc.Conn
+	closing context.Context
+	stop    context.CancelFunc
+}
+
+func places(n int) (region, zone string) {
+	region = fmt.Sprintf("region-%d", n%7)
+	return region, fmt.Sprintf("%s-%c", region, 'a'+n/7%2)
+}
+
+func startFleet(ctx context.Context, s setup) (*fleet, error) {
+	platform := emulator.NewPlatform(emulator.Budget{})
+	f := &fleet{names: make(map[string]*runner.Host), conns: make(map[[2]string]drpc.Conn), store: httptest.NewServer(platform)}
+	f.closing, f.stop = context.WithCancel(ctx)
+	f.pub = publisher.New(storeclient.New(storeclient.Config{BaseURL: f.store.URL}))
+	if err := f.writeConfig(ctx, s); err != nil {
+		return f, err
+	}
+	for n := range s.hosts {
+		name := fmt.Sprintf("host-%d", n)
+		region, zone := places(n)
+		h, err := runner.Start(runner.Config{
+			Name: name, Region: region, AvailabilityZone: zone, StoreURL: f.store.URL, Log: logger.Discard(),
+			CallerAddress: name + ":1", PeerAddress: name + ":2", BackendTransport: http.DefaultTransport,
+			Dial: func(_ context.Context, address string) schema.DRPCPeerClient {
+				return schema.NewDRPCPeerClient(&link{f, name, address})
+			},
+		})
+		if err != nil {
+			return f, err
+		}
+		f.mu.Lock()
+		f.hosts, f.names[name+":2"] = append(f.hosts, h), h
+		f.mu.Unlock()
+		platform.SetHost(storeclient.Host{
+			Name: name, State: storeclient.HostLive, Region: region, AvailabilityZone: zone, Address: name + ":1", PeerAddress: name + ":2",
+		})
+	}
+	return f, f.wait(ctx, time.Minute, func(h *runner.Host) bool {
+		return h.Snapshot().Ready() && len(h.Snapshot().Hosts()) == s.hosts
+	})
+}
+
+func (f *fleet) writeConfig(ctx context.Context, s setup) error {
+	cfg := &schema.Config{
+		Services: []*schema.Service{{Name: "dispatch", Slots: 3}, {Name: "survey", Slots: 3}},
+		Settings: &schema.Settings{LookupRatePerS: 1 << 30},
+	}
+	keys := &schema.Keys{}
+	for n := range s.workspaces {
+		name := fmt.Sprintf("workspace-%d", n)
+		cfg.Workspaces = append(cfg.Workspaces, &schema.Workspace{Name: name, RatePerS: 100, Burst: 200, Weight: 1})
+		keys.Keys = append(keys.Keys, &schema.Key{Sha256: replicator.Sum([]byte(name)), Workspace: name, Label: "a"})
+	}
+	for n := range 110 {
+		region, _ := places(n)
+		cfg.Sites = append(cfg.Sites, &schema.Site{Name: siteName(n), Region: region})
+	}
+	if _, err := f.write(ctx, replicator.Config, cfg, 0); err != nil {
+		return err
+	}
+	_, err := f.write(ctx, replicator.Keys, keys, 0)
+	return err
+}
+
+func siteName(n int) string { return fmt.Sprintf("site-%03d", n) }
+
+func (f *fleet) write(ctx context.Context, kind string, msg proto.Message, version uint64) (uint64, error) {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(msg)
+	if err != nil {
+		return 0, err
+	}
+	head, err := f.pub.Write(ctx, kind, value, version, "capacity")
+	return head.GetVersion(), err
+}
+
+var errTimeout = errors.New("the fleet did not get there in time")
+
+func (f *fleet) wait(ctx context.Context, limit time.Duration, ok func(*runner.Host) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, h := range f.hosts {
+		for !ok(h) {
+			select {
+			case <-ctx.Done():
+				return errTimeout
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) close() {
+	f.stop()
+	for _, h := range f.hosts {
+		h.Kill()
+	}
+	f.store.CloseClientConnections()
+	f.store.Close()
+}
+
+// link is a connection from one host to another that is made when first used.
+type link struct {
+	f        *fleet
+	from, to string
+}
+
+// conn returns the pipe between two hosts.
+func (l *link) conn() (drpc.Conn, error) {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	name := [2]string{l.from, l.to}
+	if c := l.f.conns[name]; c != nil {
+		return c, nil
+	}
+	h := l.f.names[l.to]
+	if h == nil || l.f.closing.Err() != nil {
+		return nil, errors.New("no such host")
+	}
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterPeer(mux, h.PeerCore()); err != nil {
+		return nil, err
+	}
+	near, far := net.Pipe()
+	opts := drpcserver.Options{Manager: dialer.ManagerOptions()}
+	go func() { _ = drpcserver.NewWithOptions(mux, opts).ServeOne(l.f.closing, counted{far, l.f}) }()
+	c := drpcconn.NewWithOptions(counted{near, l.f}, drpcconn.Options{Manager: dialer.ManagerOptions()})
+	l.f.conns[name] = c
+	return c, nil
+}
+
+// Invoke implements drpc.Conn. A connection carries one call at a time.
+func (l *link) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	c, err := l.conn()
+	if err != nil {
+		return err
+	}
+	l.f.messages.Add(1)
+	return c.Invoke(ctx, rpc, enc, in, out)
+}
+
+// NewStream implements drpc.Conn.
+func (l *link) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errors.New("streams are not carried")
+}
+
+// Close implements drpc.Conn.
+func (l *link) Close() error { return nil }
+
+// Closed implements drpc.Conn.
+func (l *link) Closed() <-chan struct{} { return nil }
+
+// Unblocked implements drpc.Conn.
+func (l *link) Unblocked() <-chan struct{} { return nil }
+
+// counted counts the bytes that are written to a pipe.
+type counted struct {
+	net.Conn
+	f *fleet
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	c.f.sent.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1e6
+}
+
+// measureFleet runs one setup and returns what each host costs.
+func measureFleet(ctx context.Context, s setup, measure time.Duration) (p point, err error) {
+	before := heap()
+	f, err := startFleet(ctx, s)
+	defer f.close()
+	if err != nil {
+		return p, err
+	}
+	n := float64(s.hosts)
+	if s.blocks > 0 {
+		if err := f.loadBlocks(ctx, s, &p); err != nil {
+			return p, err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	counts := func() [5]float64 {
+		var reads, writes int64
+		for _, h := range f.hosts {
+			reads += h.Store().Reads()
+			writes += h.Store().Writes()
+		}
+		return [5]float64{float64(f.sent.Load()), float64(f.messages.Load()), float64(reads), float64(writes), cpuTime().Seconds() * 100}
+	}
+	was, start := counts(), time.Now()
+	if err := f.change(ctx, s, measure, &p); err != nil {
+		return p, err
+	}
+	now, took := counts(), time.Since(start).Seconds()
+	for i, out := range []*float64{&p.bytes, &p.messages, &p.reads, &p.writes, &p.cpuPercent} {
+		*out = (now[i] - was[i]) / took / n
+	}
+	p.lookupUs = f.lookupCPU()
+	p.heapMB = (heap() - before) / n
+	return p, nil
+}
+
+// loadBlocks puts a table of random /24 in force and measures its way to the hosts.
+func (f *fleet) loadBlocks(ctx context.Context, s setup, p *point) error {
+	sites := make([]string, 110)
+	for i := range sites {
+		sites[i] = siteName(i)
+	}
+	r, seen := rand.New(rand.NewPCG(7, 11)), make(map[uint32]bool)
+	blocks := make([]locator.Block, 0, s.blocks)
+	for len(blocks) < s.blocks {
+		a := r.Uint32() >> 8
+		if !seen[a] {
+			seen[a] = true
+			prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(a >> 16), byte(a >> 8), byte(a)}), 24)
+			blocks = append(blocks, locator.Block{Prefix: prefix, Site: uint16(r.IntN(len(sites)))})
+		}
+	}
+	blocks, err := locator.Sort(blocks)
+	if err != nil {
+		return err
+	}
+	start := f.sent.Load()
+	res, err := f.pub.WriteBlocks(ctx, &schema.BlocksHead{}, sites, blocks, "capacity")
+	if err != nil {
+		return err
+	}
+	at := time.Now()
+	err = f.wait(ctx, 2*time.Minute, func(h *runner.Host) bool { return h.Snapshot().Blocks().Version() == res.Head.GetVersion() })
+	p.loadSeconds = time.Since(at).Seconds()
+	p.loadedB = float64(f.sent.Load()-start) / float64(s.hosts)
+	return err
+}
+
+// change waits for the measured time and writes the keys document meanwhile.
+func (f *fleet) change(ctx context.Context, s setup, measure time.Duration, p *point) error {
+	if s.changes == 0 {
+		time.Sleep(measure)
+		return nil
+	}
+	end := time.Now().Add(measure)
+	tick := time.NewTicker(time.Second / time.Duration(s.changes))
+	defer tick.Stop()
+	version, made := uint64(1), 0
+	for time.Now().Before(end) {
+		<-tick.C
+		keys := &schema.Keys{}
+		for n := range s.workspaces + made%2 {
+			name := fmt.Sprintf("workspace-%d-%d", n, made)
+			keys.Keys = append(keys.Keys, &schema.Key{Sha256: replicator.Sum([]byte(name)), Workspace: name, Label: "a"})
+		}
+		at := time.Now()
+		var err error
+		if version, err = f.write(ctx, replicator.Keys, keys, version); err != nil {
+			return err
+		}
+		if err := f.wait(ctx, 14*time.Second, func(h *runner.Host) bool { return h.Snapshot().Versions()[replicator.Keys] >= version }); err != nil {
+			return err
+		}
+		p.inForceMs = max(p.inForceMs, float64(time.Since(at).Milliseconds()))
+		made++
+	}
+	return nil
+}
+
+// lookupCPU returns the processor time of one look-up in the handler, in µs.
+func (f *fleet) lookupCPU() float64 {
+	const calls = 20_000
+	h := f.hosts[0].CallerHandler()
+	r := httptest.NewRequest(http.MethodGet, "/v1/lookup?service=dispatch", nil)
+	rec := httptest.NewRecorder()
+	idle := cpuTime()
+	time.Sleep(200 * time.Millisecond)
+	idle = cpuTime() - idle
+	start, at := cpuTime(), time.Now()
+	for n := range calls {
+		r.RemoteAddr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(n >> 8), byte(n), byte(n >> 4)}), 1).String()
+		rec.Body.Reset()
+		h.ServeHTTP(rec, r)
+	}
+	background := idle.Seconds() / 0.2 * time.Since(at).Seconds()
+	return ((cpuTime() - start).Seconds() - background) * 1e6 / calls
+}
