--- a/pkg/controller/blocks.go
+++ b/pkg/controller/blocks.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/fetcher"
 	"catkindyke/pkg/locator"
 	"catkindyke/pkg/replicator"
@@ -22,6 +23,10 @@
 // watch the version is listed once, in case the watch is silent.
 const blocksWatchWait = 8 * time.Second
 
+// blockPeersAge is the time for which the list of hosts to ask is kept; news of a
+// host that has the whole table needs about one heartbeat anyway.
+const blockPeersAge = clock.Second / 2
+
 // blockLoad is a load of a block table that is not in force yet. A goroutine of
 // its own reads and decodes pieces, so that the control goroutine only puts
 // finished tables in force.
@@ -30,6 +35,11 @@
 	// target is the version that is loaded or in force.
 	target atomic.Uint64
 
+	// peers are the hosts to ask, as they were at peersAt. Both belong to the
+	// loading goroutine.
+	peers   []fetcher.Peer
+	peersAt clock.Millis
+
 	// mu guards loader, from which other hosts are served during a load.
 	mu     sync.Mutex
 	loader *locator.Loader
@@ -267,10 +277,16 @@
 	return obj.Value, err
 }
 
-// blockPeers returns the live hosts with their versions of the block table.
-func (c *Controller) blockPeers(ctx context.Context) (out []fetcher.Peer, err error) {
-	err = c.call(ctx, func() {
-		now := c.cfg.Clock.Now()
+// blockPeers returns the live hosts with their versions of the block table. The
+// list is kept for a while, because making it for each piece would keep the
+// control goroutine of a large fleet busy.
+func (c *Controller) blockPeers(ctx context.Context) ([]fetcher.Peer, error) {
+	now := c.cfg.Clock.Now()
+	if c.blocks.peers != nil && now-c.blocks.peersAt < blockPeersAge {
+		return c.blocks.peers, nil
+	}
+	var out []fetcher.Peer
+	err := c.call(ctx, func() {
 		for _, m := range c.members.Members() {
 			if m.Live(now) {
 				info := m.Info()
@@ -280,5 +296,6 @@
 			}
 		}
 	})
+	c.blocks.peers, c.blocks.peersAt = out, now
 	return out, err
 }
--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -120,8 +121,13 @@
 	return out
 }
 
+// score returns the rendezvous hash of a host and a piece. The name of a piece
+// is a hash already; the multiplier is that of the SplitMix64 generator.
 func score(name string, piece [32]byte) uint64 {
-	return xxhash.Sum64String(name + "\x00" + string(piece[:]))
+	x := xxhash.Sum64String(name) ^ binary.LittleEndian.Uint64(piece[:])
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // holder returns a host that has the table of the version, near or in another region.
