--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -61,6 +61,7 @@
 	hasShare bool
 	lease    atomic.Pointer[Lease]
 	peers    atomic.Pointer[map[string]string]
+	blocks   blockLoad
 
 	// The fields below belong to the control goroutine.
 
@@ -91,6 +92,7 @@
 	c.leaser = leaser.New(leaser.Config{Host: cfg.Self.Name, Incarnation: cfg.Self.Incarnation, Region: cfg.Self.Region})
 	c.lease.Store(&Lease{})
 	c.peers.Store(&map[string]string{})
+	c.blocks.heads = make(chan *schema.BlocksHead, 4)
 	c.input = snapshotter.Input{
 		Self: cfg.Self, Config: &schema.Config{}, Keys: &schema.Keys{},
 		Drains: &schema.Drains{}, Plan: &schema.Plan{}, Hosts: []snapshotter.Host{cfg.Self},
@@ -114,6 +116,8 @@
 	go c.watchLedger(ctx)
 	go c.pollHeads(ctx)
 	go c.pollHosts(ctx)
+	go c.watchBlocks(ctx)
+	go c.loadBlocks(ctx)
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
