Show versions, slots, workspaces, leases and store calls in status

Cause: status named the hosts only, so an operator could not see what is in force where, how full a region is or how the store is used. Change: hosts tell their operator address and each other's news age; status asks every host and prints versions in force, share slots and lease, slots and capacity of each region and service, admitted and refused requests of each workspace, and calls on the object API. -json prints all of it.

--- a/cmd/catkindyke/commander/status.go
+++ b/cmd/catkindyke/commander/status.go
@@ -7,66 +7,130 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
+	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"catkindyke/pkg/replicator"
 	"catkindyke/service/apiserver"
 )
 
+// fleetStatus is what the asked host knows, with the answers of all other hosts.
+type fleetStatus struct {
+	apiserver.Status
+	// Fleet holds the answer of each host that could be asked, by name.
+	Fleet map[string]apiserver.Status `json:"fleet"`
+	// Unreachable names the hosts that gave no answer.
+	Unreachable []string `json:"unreachable"`
+}
+
 func (c *Commander) statusCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("status", flag.ContinueOnError)
 	operator := fs.String("operator", "127.0.0.1:7002", "operator address of any host, host:port")
 	asJSON := fs.Bool("json", false, "print JSON")
 	return c.command(ffcli.Command{
 		Name: "status", ShortUsage: "catkindyke status [flags]",
-		ShortHelp: "Shows what a host knows about the fleet.", FlagSet: fs,
-		Exec: func(ctx context.Context, _ []string) error {
-			var st apiserver.Status
-			if err := getJSON(ctx, "http://"+*operator+"/v1/status", &st); err != nil {
+		ShortHelp: "Shows the fleet: versions in force, slots, workspaces, leases and store calls.", FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError("status takes no arguments, got %q", args[0])
+			}
+			st, err := readFleet(ctx, *operator)
+			if err != nil {
 				return err
 			}
 			if *asJSON {
-				return json.NewEncoder(c.stdout).Encode(st)
-			}
-			fmt.Fprintf(c.stdout, "host=%s ready=%t\n", st.Host, st.Ready)
-			tw := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
-			fmt.Fprintln(tw, "HOST\tREGION\tAVAILABILITY ZONE\tADDRESS\tLEAVING")
-			for _, h := range st.Hosts {
-				fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%t\n", h.Name, h.Region, h.AvailabilityZone, h.Address, h.Leaving)
+				enc := json.NewEncoder(c.stdout)
+				enc.SetIndent("", "  ")
+				return enc.Encode(st)
 			}
-			return tw.Flush()
+			return st.print(c.stdout)
 		},
 	})
 }
 
-func (c *Commander) lookupCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("lookup", flag.ContinueOnError)
-	address := fs.String("address", "127.0.0.1:7001", "caller address of any host, host:port")
-	return c.command(ffcli.Command{
-		Name: "lookup", ShortUsage: "catkindyke lookup [flags] SERVICE",
-		ShortHelp: "Asks a host which hosts to use for a service.", FlagSet: fs,
-		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return usageError("lookup takes a service")
-			}
-			answer, err := lookup(ctx, *address, args[0])
+// readFleet asks one host for its status and then each host that it knows.
+func readFleet(ctx context.Context, operator string) (*fleetStatus, error) {
+	st := &fleetStatus{Fleet: make(map[string]apiserver.Status)}
+	if err := getJSON(ctx, "http://"+operator+"/v1/status", &st.Status); err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, h := range st.Hosts {
+		wg.Go(func() {
+			var one apiserver.Status
+			err := getJSON(ctx, "http://"+h.OperatorAddress+"/v1/status", &one)
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
-				return err
+				st.Unreachable = append(st.Unreachable, h.Name)
+				return
 			}
-			enc := json.NewEncoder(c.stdout)
-			enc.SetIndent("", "  ")
-			return enc.Encode(answer)
-		},
-	})
+			st.Fleet[h.Name] = one
+		})
+	}
+	wg.Wait()
+	slices.Sort(st.Unreachable)
+	return st, nil
+}
+
+func (st *fleetStatus) print(w io.Writer) error {
+	fmt.Fprintf(w, "asked=%s ready=%t unreachable=%v\n\n", st.Host, st.Ready, st.Unreachable)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	st.printHosts(tw)
+	fmt.Fprintln(tw)
+	st.printPools(tw)
+	fmt.Fprintln(tw)
+	st.printWorkspaces(tw)
+	return tw.Flush()
+}
+
+func (st *fleetStatus) printHosts(w io.Writer) {
+	fmt.Fprintln(w, "HOST\tREGION\tAVAILABILITY ZONE\tSTATE\tCONFIG\tKEYS\tDRAINS\tPLAN\tNEWS AGE\tSHARE SLOTS\tLEASE LEFT\tSTORE READS/S\tWRITES/S")
+	for _, h := range st.Hosts {
+		one, ok := st.Fleet[h.Name]
+		state := "live"
+		switch {
+		case h.Leaving:
+			state = "leaving"
+		case !ok:
+			state = "unreachable"
+		case !one.Ready:
+			state = "not ready"
+		}
+		v := h.Versions
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d ms\t%d\t%d ms\t%.1f\t%.1f\n", h.Name, h.Region, h.AvailabilityZone, state,
+			v[replicator.Config], v[replicator.Keys], v[replicator.Drains], v[replicator.Plan], h.AgeMs,
+			one.Metrics["share_slots"], one.Metrics["lease_left_ms"], one.Store.ReadsPerSecond, one.Store.WritesPerSecond)
+	}
+}
+
+func (st *fleetStatus) printPools(w io.Writer) {
+	fmt.Fprintln(w, "REGION\tSERVICE\tSLOTS\tIN USE\tQUEUED\tCAPACITY/S")
+	for _, p := range st.Pools {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.0f\n", p.Region, p.Service, p.Slots, p.InUse, p.Queued, p.CapacityPerSecond)
+	}
 }
 
-func lookup(ctx context.Context, address, service string) (apiserver.LookupAnswer, error) {
-	var answer apiserver.LookupAnswer
-	err := getJSON(ctx, "http://"+address+"/v1/lookup?service="+url.QueryEscape(service), &answer)
-	return answer, err
+// printWorkspaces sums over the hosts that could be asked.
+func (st *fleetStatus) printWorkspaces(w io.Writer) {
+	fmt.Fprintln(w, "WORKSPACE\tRATE/S\tBURST\tADMITTED\tOVER LIMIT")
+	for _, ws := range st.Workspaces {
+		var admitted, over int64
+		for _, one := range st.Fleet {
+			for _, part := range one.Workspaces {
+				if part.Name == ws.Name {
+					admitted += part.Admitted
+					over += part.OverLimit
+				}
+			}
+		}
+		fmt.Fprintf(w, "%s\t%g\t%g\t%d\t%d\n", ws.Name, ws.RatePerS, ws.Burst, admitted, over)
+	}
 }
 
 // getJSON reads an answer of a host's API.
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -197,7 +197,7 @@
 	hosts := []snapshotter.Host{self}
 	for _, m := range members {
 		if m.Live(now) {
-			hosts = append(hosts, hostOf(m.Info()))
+			hosts = append(hosts, hostOf(m))
 		}
 	}
 	c.input.Hosts = hosts
@@ -212,11 +212,13 @@
 	c.snap.Store(snapshotter.Build(c.input))
 }
 
-func hostOf(info *schema.HostInfo) snapshotter.Host {
+func hostOf(m tracker.Member) snapshotter.Host {
+	info := m.Info()
 	return snapshotter.Host{
 		Name: info.GetName(), Incarnation: info.GetIncarnation(), Region: info.GetRegion(),
 		AvailabilityZone: info.GetAvailabilityZone(), Address: info.GetAddress(),
 		PeerAddress: info.GetPeerAddress(), Pools: info.GetPools(), Versions: info.GetVersions(),
-		Leaving: info.GetState() == schema.HostState_HOST_STATE_LEAVING,
+		Leaving: info.GetState() == schema.HostState_HOST_STATE_LEAVING, Heard: m.Heard(),
+		OperatorAddress: info.GetOperatorAddress(),
 	}
 }
--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -19,7 +19,7 @@
 	}
 	return &schema.HostInfo{
 		Name: s.Name, Incarnation: s.Incarnation, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
-		State: c.state, Address: s.Address, PeerAddress: s.PeerAddress, Sequence: c.sequence,
+		State: c.state, Address: s.Address, PeerAddress: s.PeerAddress, OperatorAddress: s.OperatorAddress, Sequence: c.sequence,
 		Versions: c.docs.Versions(), StoreContactAgeMs: age, Requests: uint64(c.cfg.Meter.Get("requests")),
 		Pools: c.cfg.Pools(), BlocksVersion: c.input.Blocks.Version(),
 	}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -248,10 +248,26 @@
 // admit charges the workspace's rate.
 func (f *Forwarder) admit(x *exchange) *Refusal {
 	if x.workspace != "" {
-		if ok, wait := f.cfg.Admit(x.r.Context(), x.workspace); !ok {
+		ok, wait := f.cfg.Admit(x.r.Context(), x.workspace)
+		f.countAdmission(x.workspace, ok)
+		if !ok {
 			return &Refusal{http.StatusTooManyRequests, "rate_limited", NotRun, max(wait, 1)}
 		}
 	}
 	x.life.To(StateAdmitted)
 	return nil
 }
+
+// Metrics of each workspace; its name follows.
+const (
+	AdmittedMetric  = "admitted_"
+	OverLimitMetric = "over_limit_"
+)
+
+func (f *Forwarder) countAdmission(workspace string, ok bool) {
+	if ok {
+		f.cfg.Meter.Add(AdmittedMetric+workspace, 1)
+		return
+	}
+	f.cfg.Meter.Add(OverLimitMetric+workspace, 1)
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -42,7 +42,7 @@
 	// without listeners is reached through its handlers.
 	Caller, Operator, Peer net.Listener
 	// CallerAddress and PeerAddress are announced to others; those of the listeners when empty.
-	CallerAddress, PeerAddress string
+	CallerAddress, PeerAddress, OperatorAddress string
 	// StoreTransport and BackendTransport replace real connections when set.
 	StoreTransport, BackendTransport http.RoundTripper
 	// Dial replaces real connections to other hosts when set.
@@ -119,7 +119,7 @@
 		Self: snapshotter.Host{
 			Name: cfg.Name, Incarnation: incarnation, Region: cfg.Region,
 			AvailabilityZone: cfg.AvailabilityZone, Address: cfg.CallerAddress,
-			PeerAddress: cfg.PeerAddress,
+			PeerAddress: cfg.PeerAddress, OperatorAddress: cfg.OperatorAddress,
 		},
 		Store: h.store, Peer: h.cfg.Dial, Seeds: cfg.Seeds, Clock: clk, Pools: h.slots.loads,
 		Log: cfg.Log.For(logger.Control), Meter: h.meter,
@@ -130,7 +130,7 @@
 		Transport: cfg.BackendTransport,
 		Claims:    claimer.New(claimer.Config{Store: h.store}),
 	})
-	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder}
+	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder, Clock: clk, StoreCalls: h.storeCalls}
 	h.caller = newServer(apiserver.Caller(api))
 	h.operator = newServer(apiserver.Operator(api))
 	if err := h.listen(ctx); err != nil {
@@ -151,6 +151,9 @@
 	if cfg.PeerAddress == "" && cfg.Peer != nil {
 		cfg.PeerAddress = cfg.Peer.Addr().String()
 	}
+	if cfg.OperatorAddress == "" && cfg.Operator != nil {
+		cfg.OperatorAddress = cfg.Operator.Addr().String()
+	}
 	if cfg.BackendTransport == nil {
 		cfg.BackendTransport = forwarder.NewTransport(connectionsPerServer)
 	}
@@ -196,6 +199,8 @@
 // Store returns the host's client of the object API.
 func (h *Host) Store() *storeclient.Client { return h.store }
 
+func (h *Host) storeCalls() (reads, writes int64) { return h.store.Reads(), h.store.Writes() }
+
 // CallerHandler returns the handler for callers.
 func (h *Host) CallerHandler() http.Handler { return h.caller.Handler }
 
@@ -209,7 +214,7 @@
 func (h *Host) CallerAddress() string { return h.cfg.CallerAddress }
 
 // OperatorAddress returns the address for operators.
-func (h *Host) OperatorAddress() string { return h.cfg.Operator.Addr().String() }
+func (h *Host) OperatorAddress() string { return h.cfg.OperatorAddress }
 
 // PeerAddress returns the address for other hosts.
 func (h *Host) PeerAddress() string { return h.cfg.PeerAddress }
--- a/pkg/snapshotter/snapshotter.go
+++ b/pkg/snapshotter/snapshotter.go
@@ -25,6 +25,10 @@
 	Pools            []*schema.PoolLoad
 	// Versions are the versions of the documents in force on the host, by kind.
 	Versions map[string]uint64
+	// OperatorAddress is the host's address for operators.
+	OperatorAddress string
+	// Heard is when the newest news of the host arrived, on the own clock.
+	Heard clock.Millis
 }
 
 // Input is what a snapshot is built from.
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -31,6 +31,9 @@
 // Info returns the host's own account of itself.
 func (m Member) Info() *schema.HostInfo { return m.info }
 
+// Heard returns when the newest news of the host arrived.
+func (m Member) Heard() clock.Millis { return m.heard }
+
 // Live reports whether news of the host arrived lately.
 func (m Member) Live(now clock.Millis) bool {
 	return m.seen && now-m.heard <= SuspectAfter
--- a/service/apiserver/apiserver.go
+++ b/service/apiserver/apiserver.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/http"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/snapshotter"
 )
@@ -17,6 +18,10 @@
 	Meter *meter.Meter
 	// Forward serves callers' requests.
 	Forward http.Handler
+	// Clock tells the time on the host's clock.
+	Clock clock.Clock
+	// StoreCalls returns the reads and writes made on the object API.
+	StoreCalls func() (reads, writes int64)
 }
 
 // Caller returns the handler for callers: look-ups and requests.
@@ -38,7 +43,14 @@
 }
 
 func (cfg Config) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, convertStatus(cfg.Snapshot(), cfg.Meter))
+	now := cfg.Clock.Now()
+	st := convertStatus(cfg.Snapshot(), cfg.Meter, now)
+	st.Store.Reads, st.Store.Writes = cfg.StoreCalls()
+	if seconds := float64(now) / float64(clock.Second); seconds > 0 {
+		st.Store.ReadsPerSecond = float64(st.Store.Reads) / seconds
+		st.Store.WritesPerSecond = float64(st.Store.Writes) / seconds
+	}
+	writeJSON(w, http.StatusOK, st)
 }
 
 func (cfg Config) ready(w http.ResponseWriter, _ *http.Request) {
--- a/service/apiserver/types.go
+++ b/service/apiserver/types.go
@@ -24,8 +24,22 @@
 	Host     string            `json:"host"`
 	Ready    bool              `json:"ready"`
 	Versions map[string]uint64 `json:"versions"`
+	Store    StatusStore       `json:"store"`
 	Hosts    []StatusHost      `json:"hosts"`
-	Metrics  map[string]int64  `json:"metrics"`
+	// Pools are the slots of each region and service, summed over the owners.
+	Pools []StatusPool `json:"pools"`
+	// Workspaces counts what the asked host admitted and refused since it started.
+	Workspaces []StatusWorkspace `json:"workspaces"`
+	Metrics    map[string]int64  `json:"metrics"`
+}
+
+// StatusStore is the asked host's use of the platform's object API since it started.
+type StatusStore struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+	// ReadsPerSecond and WritesPerSecond are averages since the start.
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
 }
 
 // StatusHost is one live host of a Status.
@@ -34,9 +48,32 @@
 	Region           string `json:"region"`
 	AvailabilityZone string `json:"availability_zone"`
 	Address          string `json:"address"`
+	OperatorAddress  string `json:"operator_address"`
 	Leaving          bool   `json:"leaving"`
 	// Versions are the versions of the documents in force on the host, by kind.
 	Versions map[string]uint64 `json:"versions"`
+	// AgeMs is the age of this news, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
+}
+
+// StatusPool is the load of a service's slots in a region.
+type StatusPool struct {
+	Region  string `json:"region"`
+	Service string `json:"service"`
+	Slots   uint32 `json:"slots"`
+	InUse   uint32 `json:"in_use"`
+	Queued  uint32 `json:"queued"`
+	// CapacityPerSecond is slots over the service time, zero when the time is not configured.
+	CapacityPerSecond float64 `json:"capacity_per_second"`
+}
+
+// StatusWorkspace is what a host admitted and refused of a workspace.
+type StatusWorkspace struct {
+	Name      string  `json:"name"`
+	RatePerS  float64 `json:"rate_per_s"`
+	Burst     float64 `json:"burst"`
+	Admitted  int64   `json:"admitted"`
+	OverLimit int64   `json:"over_limit"`
 }
 
 // Error is the body of an error answer.
