--- a/cmd/catkindyke/commander/drain.go
+++ b/cmd/catkindyke/commander/drain.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"google.golang.org/protobuf/proto"
@@ -104,20 +105,27 @@
 	if kind == "host" {
 		return nil
 	}
-	_, content, err := p.Read(ctx, replicator.Config)
+	cfg, err := configInForce(ctx, p)
 	if err != nil {
 		return err
 	}
-	cfg := &schema.Config{}
-	if err := proto.Unmarshal(content, cfg); err != nil {
-		return err
-	}
-	if !slices.Contains(targetNames(cfg, kind), name) {
-		return fmt.Errorf("%w: %s %q", errUnknownTarget, kind, name)
+	names := targetNames(cfg, kind)
+	if !slices.Contains(names, name) {
+		return fmt.Errorf("%w: %s %q; allowed: %s", errUnknownTarget, kind, name, strings.Join(names, ", "))
 	}
 	return nil
 }
 
+// configInForce reads the configuration from the store.
+func configInForce(ctx context.Context, p *publisher.Publisher) (*schema.Config, error) {
+	_, content, err := p.Read(ctx, replicator.Config)
+	if err != nil {
+		return nil, err
+	}
+	cfg := &schema.Config{}
+	return cfg, proto.Unmarshal(content, cfg)
+}
+
 func targetNames(cfg *schema.Config, kind string) []string {
 	var names []string
 	for _, r := range cfg.GetRegions() {
--- a/cmd/catkindyke/commander/key.go
+++ b/cmd/catkindyke/commander/key.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -40,7 +41,11 @@
 			if len(args) != 2 {
 				return usageError("key grant takes a workspace and a label")
 			}
-			key, err := grantKey(ctx, publisher.New(newStore(*store)), args[0], args[1])
+			p := publisher.New(newStore(*store))
+			if err := checkWorkspace(ctx, p, args[0]); err != nil {
+				return err
+			}
+			key, err := grantKey(ctx, p, args[0], args[1])
 			if err != nil {
 				return err
 			}
@@ -50,6 +55,22 @@
 	})
 }
 
+// checkWorkspace refuses a workspace that the configuration in force does not have.
+func checkWorkspace(ctx context.Context, p *publisher.Publisher, name string) error {
+	cfg, err := configInForce(ctx, p)
+	if err != nil {
+		return err
+	}
+	var known []string
+	for _, w := range cfg.GetWorkspaces() {
+		if w.GetName() == name {
+			return nil
+		}
+		known = append(known, w.GetName())
+	}
+	return fmt.Errorf("%w: workspace %q; allowed: %s", errUnknownTarget, name, strings.Join(known, ", "))
+}
+
 // grantKey writes a new key's hash to the store and returns the key.
 func grantKey(ctx context.Context, p *publisher.Publisher, workspace, label string) (string, error) {
 	var raw [24]byte
