--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 docs:
 	go run ./_scripts/gendocs
+	go run ./_scripts/genreference
 
 fmt:
 	go tool gofumpt -w $$(git ls-files -- '*.go' ':!:*.pb.go')
--- a/_scripts/check-generated.sh
+++ b/_scripts/check-generated.sh
@@ -17,3 +17,5 @@
 fi
 go run ./_scripts/gendocs -out "$tmp/cli"
 diff -ru docs/cli "$tmp/cli"
+go run ./_scripts/genreference -out "$tmp/reference.md"
+diff -u docs/operations/reference.md "$tmp/reference.md"
--- a/_scripts/genreference/main.go
+++ b/_scripts/genreference/main.go
@@ -97,6 +97,10 @@
 		switch sel.Sel.Name {
 		case "Msg":
 			found[key{"event", name}] = pkg
+		case "event", "note":
+			// The events of pkg/leaser are logged and counted under the same name.
+			found[key{"event", name}] = pkg
+			found[key{"metric", name}] = pkg
 		case "Add", "Set":
 			if strings.Contains(strings.ToLower(receiver(sel.X)), "meter") {
 				found[key{"metric", name}] = pkg
@@ -104,10 +108,24 @@
 		}
 	case *ast.ValueSpec:
 		for i, id := range n.Names {
-			if strings.HasSuffix(id.Name, "Header") && i < len(n.Values) {
-				if name, _ := literal(n.Values[i]); name != "" {
-					found[key{"header", name}] = pkg
-				}
+			if i >= len(n.Values) {
+				continue
+			}
+			name, _ := literal(n.Values[i])
+			switch {
+			case name == "":
+			case strings.HasSuffix(id.Name, "Header"):
+				found[key{"header", name}] = pkg
+			case strings.HasSuffix(id.Name, "Metric"):
+				found[key{"metric", name + "*"}] = pkg
+			}
+		}
+	case *ast.KeyValueExpr:
+		// The default event of a ledger write stands in a composite literal.
+		if id, ok := n.Key.(*ast.Ident); ok && id.Name == "kind" && pkg == "pkg/leaser" {
+			if name, _ := literal(n.Value); name != "" {
+				found[key{"event", name}] = pkg
+				found[key{"metric", name}] = pkg
 			}
 		}
 	}
