--- a/pkg/controller/documents.go
+++ b/pkg/controller/documents.go
@@ -96,7 +96,7 @@
 	if head.GetVersion() <= c.Snapshot().Versions()[kind] {
 		return
 	}
-	content, err := c.cfg.Store.Get(ctx, replicator.ContentName(kind, head.GetSha256()))
+	content, err := c.cfg.Store.Get(ctx, replicator.ContentName(kind, head))
 	if err != nil {
 		c.cfg.Log.Warn().Str("kind", kind).Err(err).Msg("content_not_read")
 		return
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	content, err := p.store.Get(ctx, replicator.ContentName(kind, head.GetSha256()))
+	content, err := p.store.Get(ctx, replicator.ContentName(kind, head))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -80,8 +80,8 @@
 		Version: ifVersion + 1, Sha256: replicator.Sum(content), AttemptId: newAttemptID(), Summary: summary,
 		EarlierAttemptIds: earlierAttempts(before),
 	}
-	name := replicator.ContentName(kind, head.GetSha256())
-	if _, err := p.store.Put(ctx, name, content, 0); err != nil && !errors.Is(err, storeclient.ErrConflict) {
+	name := replicator.ContentName(kind, head)
+	if _, err := p.store.Put(ctx, name, content, 0); err != nil {
 		if _, getErr := p.store.Get(ctx, name); getErr != nil {
 			return nil, err
 		}
@@ -90,7 +90,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.writeHead(ctx, kind, head, value, ifVersion)
+	written, err := p.writeHead(ctx, kind, head, value, ifVersion)
+	if err == nil {
+		p.deleteForgotten(ctx, kind, before)
+	}
+	return written, err
+}
+
+// deleteForgotten deletes the content of the attempt that the new head no
+// longer remembers. A content whose deletion fails stays in the store.
+func (p *Publisher) deleteForgotten(ctx context.Context, kind string, before *schema.Head) {
+	ids := before.GetEarlierAttemptIds()
+	if len(ids) < rememberedAttempts {
+		return
+	}
+	forgotten := &schema.Head{Version: before.GetVersion() - rememberedAttempts, AttemptId: ids[rememberedAttempts-1]}
+	_ = p.store.Delete(ctx, replicator.ContentName(kind, forgotten), 1)
 }
 
 // writeHead repeats the same conditional update until its outcome is known. A
--- /dev/null
+++ b/pkg/publisher/publisher_test.go
@@ -0,0 +1,115 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+// withPublishers runs f in virtual time with two operators at one store.
+func withPublishers(t *testing.T, f func(platform *emulator.Platform, a, b *Publisher, store *storeclient.Client)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		network := emulator.NewNetwork(emulator.NetworkConfig{})
+		platform := emulator.NewPlatform(emulator.Budget{})
+		place := emulator.Place{Region: "north", AvailabilityZone: "north-a"}
+		network.Listen("store:1", place, platform)
+		client := func() *storeclient.Client {
+			return storeclient.New(storeclient.Config{BaseURL: "http://store:1", Transport: network.Transport(place)})
+		}
+		f(platform, New(client()), New(client()), client())
+	})
+}
+
+// TestLostAnswer guards against a change that is reported as failed although it took effect.
+func TestLostAnswer(t *testing.T) {
+	for lost := 1; lost <= 3; lost++ {
+		t.Run(fmt.Sprintf("%d answers lost", lost), func(t *testing.T) {
+			withPublishers(t, func(platform *emulator.Platform, a, _ *Publisher, _ *storeclient.Client) {
+				platform.SetFaults(emulator.Faults{LoseWriteAnswers: lost})
+				head, err := a.Write(context.Background(), replicator.Config, []byte("one"), 0, "one")
+				assertNoError(t, err, "write")
+				stored, content, err := a.Read(context.Background(), replicator.Config)
+				assertNoError(t, err, "read")
+				if stored.GetVersion() != 1 || head.GetVersion() != 1 || string(content) != "one" {
+					t.Errorf("stored version %d, reported %d, content %q", stored.GetVersion(), head.GetVersion(), content)
+				}
+			})
+		})
+	}
+}
+
+// TestRace guards against two operators who both believe that their change was accepted.
+func TestRace(t *testing.T) {
+	withPublishers(t, func(_ *emulator.Platform, a, b *Publisher, _ *storeclient.Client) {
+		_, err := a.Write(context.Background(), replicator.Config, []byte("one"), 0, "change by a")
+		assertNoError(t, err, "first write")
+		_, err = b.Write(context.Background(), replicator.Config, []byte("two"), 0, "change by b")
+		if !errors.Is(err, ErrConflict) || !strings.Contains(err.Error(), "change by a") {
+			t.Errorf("second write: %v, want a conflict that names the first change", err)
+		}
+	})
+}
+
+// TestOvertaken guards against an attempt that took effect, lost its answer and
+// was overtaken by another change, and is then reported as a conflict.
+func TestOvertaken(t *testing.T) {
+	withPublishers(t, func(_ *emulator.Platform, a, b *Publisher, _ *storeclient.Client) {
+		head, err := a.Write(context.Background(), replicator.Config, []byte("one"), 0, "one")
+		assertNoError(t, err, "first write")
+		_, err = b.Write(context.Background(), replicator.Config, []byte("two"), 1, "two")
+		assertNoError(t, err, "second write")
+		again, err := a.writeHead(context.Background(), replicator.Config, head, nil, 0)
+		assertNoError(t, err, "repeat of the first write")
+		if again.GetAttemptId() != head.GetAttemptId() {
+			t.Error("the repeat was taken for another attempt")
+		}
+	})
+}
+
+// TestStoreDown guards against a claim of success, or of failure, that nobody can know.
+func TestStoreDown(t *testing.T) {
+	withPublishers(t, func(platform *emulator.Platform, a, _ *Publisher, _ *storeclient.Client) {
+		platform.SetFaults(emulator.Faults{Down: true})
+		_, err := a.Write(context.Background(), replicator.Config, []byte("one"), 0, "one")
+		if !errors.Is(err, storeclient.ErrUnavailable) {
+			t.Errorf("write to a store that is down: %v", err)
+		}
+		_, err = a.writeHead(context.Background(), replicator.Config, &schema.Head{Version: 1}, nil, 0)
+		if !errors.Is(err, ErrUnknown) {
+			t.Errorf("head written to a store that is down: %v, want unknown", err)
+		}
+	})
+}
+
+// TestOldContents guards against a store that grows with every change.
+func TestOldContents(t *testing.T) {
+	withPublishers(t, func(_ *emulator.Platform, a, _ *Publisher, store *storeclient.Client) {
+		for n := range uint64(40) {
+			_, err := a.Write(context.Background(), replicator.Config, []byte("same"), n, "change")
+			assertNoError(t, err, "write")
+		}
+		list, err := store.List(context.Background(), "contents/")
+		assertNoError(t, err, "list")
+		if len(list) != rememberedAttempts+1 {
+			t.Errorf("%d contents in the store, want %d", len(list), rememberedAttempts+1)
+		}
+		_, _, err = a.Read(context.Background(), replicator.Config)
+		assertNoError(t, err, "read")
+	})
+}
+
+func assertNoError(t *testing.T, err error, step string) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%s: %v", step, err)
+	}
+}
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -33,8 +33,12 @@
 // HeadName returns the object name of a kind's head.
 func HeadName(kind string) string { return HeadPrefix + kind }
 
-// ContentName returns the object name of a content.
-func ContentName(kind, sha string) string { return "contents/" + kind + "/" + sha }
+// ContentName returns the object name of the content that a head names. Each
+// attempt has its own object, so that old contents can be deleted without
+// harm to another attempt with the same content.
+func ContentName(kind string, head *schema.Head) string {
+	return fmt.Sprintf("contents/%s/%d-%s", kind, head.GetVersion(), head.GetAttemptId())
+}
 
 // Sum returns the SHA-256 of a content in hexadecimal.
 func Sum(content []byte) string {
