--- /dev/null
+++ b/cmd/catkindyke/commander/snapshot_test.go
@@ -0,0 +1,42 @@
+package commander
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"catkindyke/pkg/authenticator"
+)
+
+// TestSnapshot guards against snapshots that miss a change or carry key hashes.
+func TestSnapshot(t *testing.T) {
+	d, err := startDemo(t.Context(), 2, "error", New(&bytes.Buffer{}, &bytes.Buffer{}))
+	assertNoError(t, err, "start")
+	defer d.stop()
+	t.Setenv(EnvName("store"), d.storeURL)
+	dir := t.TempDir()
+	before, after := filepath.Join(dir, "before.json"), filepath.Join(dir, "after.json")
+	var out, errOut bytes.Buffer
+	for _, args := range [][]string{
+		{"snapshot", "save", before},
+		{"drain", "region", "fyn"},
+		{"snapshot", "save", after},
+		{"snapshot", "diff", before, after},
+	} {
+		if got := New(&out, &errOut).Run(t.Context(), args); got != exitOK {
+			t.Fatalf("%v: exit status %d: %s", args, got, errOut.String())
+		}
+	}
+	if !strings.Contains(out.String(), "drains: version 0 to 1") {
+		t.Errorf("the drain is not in the difference:\n%s", out.String())
+	}
+	content, err := os.ReadFile(after)
+	assertNoError(t, err, "read snapshot")
+	for _, key := range d.keys {
+		if bytes.Contains(content, []byte(authenticator.Hash(key))) || bytes.Contains(content, []byte(key)) {
+			t.Error("the snapshot carries a key or its hash")
+		}
+	}
+}
--- a/pkg/controller/shares.go
+++ b/pkg/controller/shares.go
@@ -9,12 +9,13 @@
 
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/leaser"
+	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/storeclient"
 )
 
 // ledgerName is the object that records the holder of each share slot.
-const ledgerName = "ledger"
+const ledgerName = replicator.LedgerName
 
 // handOverTimeout bounds the wait for the ledger write of a planned stop. The
 // slots stay with the host's record when the store is away.
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -27,6 +27,9 @@
 // ErrCorrupt says that a document's content does not match its head.
 var ErrCorrupt = errors.New("document content does not match its head")
 
+// LedgerName is the object that records the holder of each share slot.
+const LedgerName = "ledger"
+
 // HeadPrefix starts the object names of all heads, so that one list call shows their versions.
 const HeadPrefix = "heads/"
 
