Confirm keys and drains on every host as apply does

Cause: key withdraw said 'accepted' and nothing of where the key still works, although the design promises that. Change: the wait of apply serves key grant, key withdraw, drain and undrain too, with -operator and -wait; each names the hosts on which the version is not in force and exits 1.

--- a/cmd/catkindyke/commander/apply.go
+++ b/cmd/catkindyke/commander/apply.go
@@ -5,9 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"strings"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -15,38 +13,34 @@
 	"catkindyke/pkg/publisher"
 	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
-	"catkindyke/pkg/storeclient"
-	"catkindyke/service/apiserver"
 )
 
-const (
-	// anyVersion accepts whatever version is in force when apply reads it.
-	anyVersion = -1
-	// defaultApplyWait is the requirement for a change to be in force everywhere.
-	defaultApplyWait = 14 * time.Second
-)
+// anyVersion accepts whatever version is in force when apply reads it.
+const anyVersion = -1
 
 // applyFlags are the flags of apply.
 type applyFlags struct {
-	store, operator string
-	expect          int64
-	wait            time.Duration
+	confirmFlags
+	store  string
+	expect int64
 }
 
 func (c *Commander) applyCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
 	f := &applyFlags{}
 	fs.StringVar(&f.store, "store", "http://127.0.0.1:7000", "URL of the platform's object API")
-	fs.StringVar(&f.operator, "operator", "127.0.0.1:7002", "operator address of any host, host:port, to ask which hosts have the version in force")
 	fs.Int64Var(&f.expect, "expect-version", anyVersion, "version that must be in force, as printed by diff; -1 accepts any")
-	fs.DurationVar(&f.wait, "wait", defaultApplyWait, "longest wait until the version is in force on all hosts, as a duration such as 14s; 0 does not wait")
+	f.register(fs)
 	return c.command(ffcli.Command{
 		Name: "apply", ShortUsage: "catkindyke apply [flags] BASE [OVERLAY...]",
 		ShortHelp: "Puts a base file and overlays in force.", FlagSet: fs,
 		LongHelp: "The change is refused when another change is accepted first. The exit status is 1 when the version is not in force on all hosts after the wait; the change is accepted all the same.",
 		Exec: func(ctx context.Context, args []string) error {
-			if f.expect < anyVersion || f.wait < 0 {
-				return usageError("-expect-version must be -1 or more and -wait must not be negative")
+			if f.expect < anyVersion {
+				return usageError("-expect-version must be -1 or more")
+			}
+			if err := f.check(); err != nil {
+				return err
 			}
 			return c.apply(ctx, f, args)
 		},
@@ -60,17 +54,10 @@
 	}
 	store := newStore(f.store)
 	version, err := c.writeConfig(ctx, publisher.New(store), merged.Config(), f.expect)
-	if err != nil || f.wait == 0 {
+	if err != nil {
 		return err
 	}
-	return confirmation{
-		version: version, wait: f.wait, out: c.stdout,
-		status: func(ctx context.Context) (st apiserver.Status, err error) {
-			err = getJSON(ctx, "http://"+f.operator+"/v1/status", &st)
-			return st, err
-		},
-		platform: store.Hosts,
-	}.run(ctx)
+	return f.confirm(ctx, store, replicator.Config, version, c.stdout)
 }
 
 // writeConfig writes the configuration if the store still holds the version
@@ -117,102 +104,3 @@
 	}
 	return fmt.Errorf("%w\nversion %d changed since it was read:\n%s", conflict, head.GetVersion(), strings.Join(lines, "\n"))
 }
-
-// errNotInForce says that hosts did not report an accepted version in time.
-var errNotInForce = errors.New("the version is accepted, but not in force on all hosts")
-
-// confirmInterval is the time between two questions for the hosts' versions.
-const confirmInterval = 250 * time.Millisecond
-
-// confirmation waits until a version is in force on all hosts.
-type confirmation struct {
-	version uint64
-	wait    time.Duration
-	out     io.Writer
-	// status asks one host what it knows of all hosts.
-	status func(context.Context) (apiserver.Status, error)
-	// platform returns the platform's list, which shows hosts that the asked one does not hear.
-	platform func(context.Context) ([]storeclient.Host, error)
-}
-
-// hostVersion is the version that a host reports.
-type hostVersion struct {
-	name    string
-	version uint64
-	heard   bool
-}
-
-func (c confirmation) run(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, c.wait)
-	defer cancel()
-	var hosts []hostVersion
-	last := errors.New("no host answered")
-	for {
-		found, err := c.poll(ctx)
-		if err == nil {
-			hosts, last = found, nil
-		} else if ctx.Err() == nil {
-			last = err
-		}
-		if err == nil && c.inForce(hosts) {
-			c.print(hosts)
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			c.print(hosts)
-			if last != nil {
-				return fmt.Errorf("%w: %w", errNotInForce, last)
-			}
-			return errNotInForce
-		case <-time.After(confirmInterval):
-		}
-	}
-}
-
-// poll joins what one host knows with the platform's list. The list is only a
-// hint: when it cannot be read, the host's knowledge is used alone.
-func (c confirmation) poll(ctx context.Context) ([]hostVersion, error) {
-	st, err := c.status(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var hosts []hostVersion
-	heard := make(map[string]bool)
-	for _, h := range st.Hosts {
-		heard[h.Name] = true
-		hosts = append(hosts, hostVersion{name: h.Name, version: h.Versions[replicator.Config], heard: true})
-	}
-	listed, err := c.platform(ctx)
-	if err != nil {
-		listed = nil
-	}
-	for _, h := range listed {
-		if !heard[h.Name] && h.State == storeclient.HostLive {
-			hosts = append(hosts, hostVersion{name: h.Name})
-		}
-	}
-	return hosts, nil
-}
-
-func (c confirmation) inForce(hosts []hostVersion) bool {
-	for _, h := range hosts {
-		if !h.heard || h.version < c.version {
-			return false
-		}
-	}
-	return len(hosts) > 0
-}
-
-func (c confirmation) print(hosts []hostVersion) {
-	for _, h := range hosts {
-		switch {
-		case !h.heard:
-			fmt.Fprintf(c.out, "%s: not heard by the asked host\n", h.name)
-		case h.version < c.version:
-			fmt.Fprintf(c.out, "%s: version %d is not in force, it has version %d\n", h.name, c.version, h.version)
-		default:
-			fmt.Fprintf(c.out, "%s: version %d is in force\n", h.name, h.version)
-		}
-	}
-}
--- a/cmd/catkindyke/commander/config_test.go
+++ b/cmd/catkindyke/commander/config_test.go
@@ -132,7 +132,7 @@
 				start := time.Now()
 				var out bytes.Buffer
 				err := confirmation{
-					version: 2, wait: defaultApplyWait, out: &out,
+					kind: replicator.Config, version: 2, wait: defaultWait, out: &out,
 					platform: func(context.Context) ([]storeclient.Host, error) {
 						return []storeclient.Host{{Name: c.listed, State: storeclient.HostLive}, {Name: "y", State: storeclient.HostLeaving}}, nil
 					},
--- a/cmd/catkindyke/commander/demo.go
+++ b/cmd/catkindyke/commander/demo.go
@@ -151,7 +151,7 @@
 		return err
 	}
 	for _, w := range d.cfg.GetWorkspaces() {
-		key, err := grantKey(ctx, p, w.GetName(), "demo")
+		key, _, err := grantKey(ctx, p, w.GetName(), "demo")
 		if err != nil {
 			return err
 		}
--- a/cmd/catkindyke/commander/drain.go
+++ b/cmd/catkindyke/commander/drain.go
@@ -26,12 +26,14 @@
 	fs := flag.NewFlagSet("drain", flag.ContinueOnError)
 	store := storeFlag(fs)
 	lost := fs.Bool("lost", false, "the host is lost for good; other hosts take its share slots. Wrong use lets a workspace exceed its rate")
+	f := &confirmFlags{}
+	f.register(fs)
 	return c.command(ffcli.Command{
 		Name: "drain", ShortUsage: "catkindyke drain [flags] " + drainKinds + " NAME",
 		ShortHelp: "Takes a host, backend server, availability zone or region out of service.", FlagSet: fs,
 		LongHelp: "New work stops within a few seconds; work in flight ends. A drained host stays up and serves callers with a cached answer.",
 		Exec: func(ctx context.Context, args []string) error {
-			return c.changeDrains(ctx, *store, args, *lost, true)
+			return c.changeDrains(ctx, f, *store, args, *lost, true)
 		},
 	})
 }
@@ -40,16 +42,18 @@
 	fs := flag.NewFlagSet("undrain", flag.ContinueOnError)
 	store := storeFlag(fs)
 	lost := fs.Bool("lost", false, "take back the word that a host is lost")
+	f := &confirmFlags{}
+	f.register(fs)
 	return c.command(ffcli.Command{
 		Name: "undrain", ShortUsage: "catkindyke undrain [flags] " + drainKinds + " NAME",
 		ShortHelp: "Puts a drained target back in service.", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
-			return c.changeDrains(ctx, *store, args, *lost, false)
+			return c.changeDrains(ctx, f, *store, args, *lost, false)
 		},
 	})
 }
 
-func (c *Commander) changeDrains(ctx context.Context, store string, args []string, lost, add bool) error {
+func (c *Commander) changeDrains(ctx context.Context, f *confirmFlags, store string, args []string, lost, add bool) error {
 	if len(args) != 2 {
 		return usageError("a kind (%s) and a name are needed", drainKinds)
 	}
@@ -60,7 +64,11 @@
 	if drainList(&schema.Drains{}, kind, lost) == nil {
 		return usageError("unknown kind %q; use %s", kind, drainKinds)
 	}
-	p := publisher.New(newStore(store))
+	if err := f.check(); err != nil {
+		return err
+	}
+	client := newStore(store)
+	p := publisher.New(client)
 	if add {
 		if err := checkTarget(ctx, p, kind, name); err != nil {
 			return err
@@ -79,7 +87,7 @@
 		return err
 	}
 	fmt.Fprintf(c.stdout, "version %d accepted\n", head.GetVersion())
-	return nil
+	return f.confirm(ctx, client, replicator.Drains, head.GetVersion(), c.stdout)
 }
 
 // drainList returns the list that a kind of target is kept in, nil for an unknown kind.
--- a/cmd/catkindyke/commander/key.go
+++ b/cmd/catkindyke/commander/key.go
@@ -34,23 +34,30 @@
 func (c *Commander) keyGrantCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("grant", flag.ContinueOnError)
 	store := storeFlag(fs)
+	f := &confirmFlags{}
+	f.register(fs)
 	return c.command(ffcli.Command{
 		Name: "grant", ShortUsage: "catkindyke key grant [flags] WORKSPACE LABEL",
 		ShortHelp: "Makes a new key for a workspace and prints it once.", FlagSet: fs,
+		LongHelp: "The key is printed on standard output, the hosts on which it is in force on standard error.",
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 2 {
 				return usageError("key grant takes a workspace and a label")
 			}
-			p := publisher.New(newStore(*store))
+			if err := f.check(); err != nil {
+				return err
+			}
+			client := newStore(*store)
+			p := publisher.New(client)
 			if err := checkWorkspace(ctx, p, args[0]); err != nil {
 				return err
 			}
-			key, err := grantKey(ctx, p, args[0], args[1])
+			key, version, err := grantKey(ctx, p, args[0], args[1])
 			if err != nil {
 				return err
 			}
 			fmt.Fprintln(c.stdout, key)
-			return nil
+			return f.confirm(ctx, client, replicator.Keys, version, c.stderr)
 		},
 	})
 }
@@ -71,15 +78,16 @@
 	return fmt.Errorf("%w: workspace %q; allowed: %s", errUnknownTarget, name, strings.Join(known, ", "))
 }
 
-// grantKey writes a new key's hash to the store and returns the key.
-func grantKey(ctx context.Context, p *publisher.Publisher, workspace, label string) (string, error) {
+// grantKey writes a new key's hash to the store and returns the key and the
+// version of the keys document.
+func grantKey(ctx context.Context, p *publisher.Publisher, workspace, label string) (string, uint64, error) {
 	var raw [24]byte
 	if _, err := rand.Read(raw[:]); err != nil {
-		return "", err
+		return "", 0, err
 	}
 	key := base64.RawURLEncoding.EncodeToString(raw[:])
 	entry := &schema.Key{Sha256: authenticator.Hash(key), Workspace: workspace, Label: label}
-	_, err := publisher.Change(ctx, p, replicator.Keys, "grant "+workspace+" "+label, func(keys *schema.Keys) error {
+	head, err := publisher.Change(ctx, p, replicator.Keys, "grant "+workspace+" "+label, func(keys *schema.Keys) error {
 		for _, k := range keys.GetKeys() {
 			if k.GetWorkspace() == workspace && k.GetLabel() == label {
 				return fmt.Errorf("workspace %s already has a key with label %q", workspace, label)
@@ -88,20 +96,26 @@
 		keys.Keys = append(keys.Keys, entry)
 		return nil
 	})
-	return key, err
+	return key, head.GetVersion(), err
 }
 
 func (c *Commander) keyWithdrawCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("withdraw", flag.ContinueOnError)
 	store := storeFlag(fs)
+	f := &confirmFlags{}
+	f.register(fs)
 	return c.command(ffcli.Command{
 		Name: "withdraw", ShortUsage: "catkindyke key withdraw [flags] WORKSPACE LABEL",
-		ShortHelp: "Withdraws a key.", FlagSet: fs,
+		ShortHelp: "Withdraws a key and names the hosts on which it still works.", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 2 {
 				return usageError("key withdraw takes a workspace and a label")
 			}
-			head, err := publisher.Change(ctx, publisher.New(newStore(*store)), replicator.Keys,
+			if err := f.check(); err != nil {
+				return err
+			}
+			client := newStore(*store)
+			head, err := publisher.Change(ctx, publisher.New(client), replicator.Keys,
 				"withdraw "+args[0]+" "+args[1], func(keys *schema.Keys) error {
 					n := len(keys.GetKeys())
 					keys.Keys = slices.DeleteFunc(keys.Keys, func(k *schema.Key) bool {
@@ -116,7 +130,7 @@
 				return err
 			}
 			fmt.Fprintf(c.stdout, "version %d accepted\n", head.GetVersion())
-			return nil
+			return f.confirm(ctx, client, replicator.Keys, head.GetVersion(), c.stdout)
 		},
 	})
 }
--- a/cmd/catkindyke/commander/snapshot_test.go
+++ b/cmd/catkindyke/commander/snapshot_test.go
@@ -16,6 +16,7 @@
 	assertNoError(t, err, "start")
 	defer d.stop()
 	t.Setenv(EnvName("store"), d.storeURL)
+	t.Setenv(EnvName("operator"), d.hosts[0].OperatorAddress())
 	dir := t.TempDir()
 	before, after := filepath.Join(dir, "before.json"), filepath.Join(dir, "after.json")
 	var out, errOut bytes.Buffer
