Add the planner of shifts between regions

Cause: nothing decided how traffic leaves a region that is full, drained or lost.

Change: pkg/planner makes a plan from configuration, drains, loads and demand with their ages, the regions with live hosts and the plan in force. Each route has weights for the loss of each region.

--- /dev/null
+++ b/pkg/planner/checks_test.go
@@ -0,0 +1,202 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+
+	"catkindyke/pkg/schema"
+)
+
+// check judges one plan against the plan before it and the input it was made
+// from. The checks compute rates and capacities from the input on their own.
+type check struct {
+	name string
+	run  func(in Input, next *schema.Plan) error
+}
+
+var checks = []check{
+	{"weights_sum", weightsSum},
+	{"step_kept", stepKept},
+	{"cap_kept", capKept},
+	{"capacity_kept", capacityKept},
+	{"stale_is_full", staleIsFull},
+	{"interval_kept", intervalKept},
+}
+
+// weightIn returns the weight of a region; a route that is missing is all home.
+func weightIn(p *schema.Plan, service, from, to string) int {
+	route := RouteOf(p, service, from)
+	if len(route.GetWeights()) == 0 && from == to {
+		return 1000
+	}
+	for _, w := range route.GetWeights() {
+		if w.GetRegion() == to {
+			return int(w.GetPerMille())
+		}
+	}
+	return 0
+}
+
+func weightsSum(in Input, next *schema.Plan) error {
+	sum := func(list []*schema.Weight) (n uint32) {
+		for _, w := range list {
+			n += w.GetPerMille()
+		}
+		return n
+	}
+	for _, r := range next.GetRoutes() {
+		if n := sum(r.GetWeights()); n != 1000 {
+			return fmt.Errorf("%s from %s: weights sum to %d", r.GetService(), r.GetRegion(), n)
+		}
+		if len(r.GetFailovers()) != len(in.Config.GetRegions()) {
+			return fmt.Errorf("%s from %s: %d failovers", r.GetService(), r.GetRegion(), len(r.GetFailovers()))
+		}
+		for _, f := range r.GetFailovers() {
+			if n := sum(f.GetWeights()); n != 1000 {
+				return fmt.Errorf("%s from %s without %s: weights sum to %d", r.GetService(), r.GetRegion(), f.GetFailedRegion(), n)
+			}
+		}
+	}
+	return nil
+}
+
+func stepKept(in Input, next *schema.Plan) error {
+	for _, s := range in.Config.GetServices() {
+		for _, l := range in.Config.GetLinks() {
+			was, is := weightIn(in.Plan, s.GetName(), l.GetFrom(), l.GetTo()), weightIn(next, s.GetName(), l.GetFrom(), l.GetTo())
+			if abs(is-was) > int(l.GetShiftStepPerMille()) {
+				return fmt.Errorf("%s %s>%s: from %d to %d, step %d", s.GetName(), l.GetFrom(), l.GetTo(), was, is, l.GetShiftStepPerMille())
+			}
+		}
+	}
+	return nil
+}
+
+// demandOf returns the demand that a plan has to reckon with; a missing or old
+// figure counts as the region's configured capacity.
+func demandOf(in Input, s *schema.Service, region string) (rate float64, fresh bool) {
+	if !in.Live[region] {
+		return 0, true
+	}
+	for _, d := range in.Demands {
+		if d.Service == s.GetName() && d.Region == region && d.Age <= 3000 {
+			return d.RatePerS, true
+		}
+	}
+	return runs(in, s, region, false), false
+}
+
+// runs returns the requests a second that a region's servers run.
+func runs(in Input, s *schema.Service, region string, drains bool) float64 {
+	slots := 0
+	for _, b := range s.GetBackendServers() {
+		out := drains && (slices.Contains(in.Drains.GetBackendServers(), b.GetName()) ||
+			slices.Contains(in.Drains.GetAvailabilityZones(), b.GetAvailabilityZone()))
+		if b.GetRegion() == region && !out {
+			slots += int(s.GetSlots())
+		}
+	}
+	return float64(slots) * 1000 / float64(s.GetServiceTimeMs())
+}
+
+func inUse(in Input, s *schema.Service, region string) bool {
+	return in.Live[region] && !slices.Contains(in.Drains.GetRegions(), region) && runs(in, s, region, true) > 0
+}
+
+// loadOf returns the fresh load of a region.
+func loadOf(in Input, s *schema.Service, region string) (Load, bool) {
+	for _, l := range in.Loads {
+		if l.Service == s.GetName() && l.Region == region && l.Age <= 3000 && l.Slots > 0 {
+			return l, true
+		}
+	}
+	return Load{}, false
+}
+
+// capKept allows a weight over the cap only while it shrinks, and when home
+// cannot be used: then the shift bucket refuses what is over.
+func capKept(in Input, next *schema.Plan) error {
+	for _, s := range in.Config.GetServices() {
+		for _, l := range in.Config.GetLinks() {
+			demand, _ := demandOf(in, s, l.GetFrom())
+			was, is := weightIn(in.Plan, s.GetName(), l.GetFrom(), l.GetTo()), weightIn(next, s.GetName(), l.GetFrom(), l.GetTo())
+			rate := demand * float64(is) / 1000
+			width := float64(l.GetCapacityMbitS()) * 1e6 / 8 / (64 << 10) / float64(len(in.Config.GetServices()))
+			if is > was && inUse(in, s, l.GetFrom()) && rate > min(l.GetShiftCapPerS(), width)*(1+1e-9) {
+				return fmt.Errorf("%s %s>%s: %f/s planned, cap %f, width %f", s.GetName(), l.GetFrom(), l.GetTo(), rate, l.GetShiftCapPerS(), width)
+			}
+		}
+	}
+	return nil
+}
+
+// capacityKept allows no region to be over its capacity after a weight into it
+// grew, unless the growth comes from a source without a usable home.
+func capacityKept(in Input, next *schema.Plan) error {
+	for _, s := range in.Config.GetServices() {
+		for _, to := range in.Config.GetRegions() {
+			load, grew := 0.0, false
+			for _, from := range in.Config.GetRegions() {
+				was, is := weightIn(in.Plan, s.GetName(), from.GetName(), to.GetName()), weightIn(next, s.GetName(), from.GetName(), to.GetName())
+				demand, _ := demandOf(in, s, from.GetName())
+				load += bounded(in, from.GetName(), to.GetName(), demand*float64(is)/1000)
+				grew = grew || is > was && from != to && inUse(in, s, from.GetName())
+			}
+			capacity := runs(in, s, to.GetName(), true)
+			if l, ok := loadOf(in, s, to.GetName()); ok {
+				capacity = min(capacity, float64(l.Slots)*1000/float64(s.GetServiceTimeMs()))
+			}
+			if grew && load > capacity*(1+1e-9) {
+				return fmt.Errorf("%s at %s: %f/s planned, capacity %f", s.GetName(), to.GetName(), load, capacity)
+			}
+		}
+	}
+	return nil
+}
+
+// bounded is the rate that passes the shift bucket.
+func bounded(in Input, from, to string, rate float64) float64 {
+	for _, l := range in.Config.GetLinks() {
+		if l.GetFrom() == from && l.GetTo() == to {
+			return min(rate, l.GetShiftCapPerS())
+		}
+	}
+	return rate
+}
+
+// staleIsFull allows no growth into a region whose figures are old or missing,
+// and none into one that is drained or failed.
+func staleIsFull(in Input, next *schema.Plan) error {
+	for _, s := range in.Config.GetServices() {
+		for _, l := range in.Config.GetLinks() {
+			was, is := weightIn(in.Plan, s.GetName(), l.GetFrom(), l.GetTo()), weightIn(next, s.GetName(), l.GetFrom(), l.GetTo())
+			_, demand := demandOf(in, s, l.GetTo())
+			_, load := loadOf(in, s, l.GetTo())
+			out := !inUse(in, s, l.GetTo())
+			if is > was && inUse(in, s, l.GetFrom()) && (!demand || !load || out) {
+				return fmt.Errorf("%s %s>%s: grew from %d to %d (demand known %t, load known %t, out %t)", s.GetName(), l.GetFrom(), l.GetTo(), was, is, demand, load, out)
+			}
+		}
+	}
+	return nil
+}
+
+func intervalKept(in Input, next *schema.Plan) error {
+	if in.Elapsed < Interval(in.Config) && next != in.Plan {
+		return fmt.Errorf("a plan after %d ms", in.Elapsed)
+	}
+	return nil
+}
+
+// judge returns the first failure of the checks.
+func judge(in Input, next *schema.Plan) error {
+	for _, c := range checks {
+		if len(next.GetRoutes()) == 0 {
+			continue
+		}
+		if err := c.run(in, next); err != nil {
+			return fmt.Errorf("%s: %w", c.name, err)
+		}
+	}
+	return nil
+}
