Follow the plan at entry hosts and plan under a lease

Cause: requests always ran in the entry host's own region, and no host planned.

Change: pkg/router picks the regions of a request from the plan, its failover weights and the health of regions, and replaces the fixed order.

Conclusion: the parts are joined; a link without a cap carries no shift.

--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -74,6 +74,10 @@
 	hasContact bool
 	fetching   map[string]bool
 	input      snapshotter.Input
+	regions    *tracker.Regions
+	demand     demandMeter
+	// planSince is when the plan in force was put in force.
+	planSince clock.Millis
 }
 
 // New returns a controller that does nothing until Run is called.
@@ -88,6 +92,7 @@
 		members:  tracker.New(cfg.Self.Name),
 		state:    schema.HostState_HOST_STATE_STARTING,
 		fetching: make(map[string]bool),
+		regions:  tracker.NewRegions(),
 	}
 	c.leaser = leaser.New(leaser.Config{Host: cfg.Self.Name, Incarnation: cfg.Self.Incarnation, Region: cfg.Self.Region})
 	c.lease.Store(&Lease{})
@@ -118,6 +123,7 @@
 	go c.pollHosts(ctx)
 	go c.watchBlocks(ctx)
 	go c.loadBlocks(ctx)
+	go c.runPlans(ctx)
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
@@ -182,6 +188,7 @@
 func (c *Controller) tick(ctx context.Context) {
 	now := c.cfg.Clock.Now()
 	c.members.Forget(now)
+	c.measureDemand(now)
 	c.heartbeat(ctx)
 	c.updateShares(ctx, now)
 	c.publish()
@@ -201,6 +208,7 @@
 		}
 	}
 	c.input.Hosts = hosts
+	c.observeRegions(now)
 	c.input.Ready = c.startup.Ready(c.input.Versions, now) && c.shareReady(now)
 	if c.input.Ready && c.state == schema.HostState_HOST_STATE_STARTING {
 		c.state = schema.HostState_HOST_STATE_LIVE
--- a/pkg/controller/documents.go
+++ b/pkg/controller/documents.go
@@ -11,6 +11,7 @@
 
 	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/router"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/storeclient"
 )
@@ -143,6 +144,7 @@
 		c.input.Drains, err = replaceWith[schema.Drains](doc, c.input.Drains)
 	case replicator.Plan:
 		c.input.Plan, err = replaceWith[schema.Plan](doc, c.input.Plan)
+		c.planSince = c.cfg.Clock.Now()
 	}
 	return err
 }
@@ -164,6 +166,14 @@
 	for _, w := range cfg.GetWorkspaces() {
 		limits[w.GetName()] = limiter.Limit{RatePerSecond: w.GetRatePerS(), Burst: w.GetBurst()}
 	}
+	// A link that is missing or has no cap gets no bucket, so nothing is shifted over it.
+	for _, l := range cfg.GetLinks() {
+		for _, s := range cfg.GetServices() {
+			if rate := l.GetShiftCapPerS(); rate > 0 {
+				limits[router.BucketName(s.GetName(), l.GetFrom(), l.GetTo())] = limiter.Limit{RatePerSecond: rate, Burst: rate}
+			}
+		}
+	}
 	return limits
 }
 
--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -21,7 +21,7 @@
 		Name: s.Name, Incarnation: s.Incarnation, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		State: c.state, Address: s.Address, PeerAddress: s.PeerAddress, OperatorAddress: s.OperatorAddress, Sequence: c.sequence,
 		Versions: c.docs.Versions(), StoreContactAgeMs: age, Requests: uint64(c.cfg.Meter.Get("requests")),
-		Pools: c.cfg.Pools(), BlocksVersion: c.input.Blocks.Version(),
+		Pools: c.cfg.Pools(), BlocksVersion: c.input.Blocks.Version(), Demands: c.demand.rates,
 	}
 }
 
--- /dev/null
+++ b/pkg/controller/plannerlease.go
@@ -0,0 +1,165 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+const (
+	// leaseName is the object that names the host that plans.
+	leaseName = "leases/planner"
+	// leaseTime is how long a planner acts after the sending of its last renewal.
+	leaseTime = 6 * clock.Second
+	// renewInterval leaves two more tries when a renewal fails.
+	renewInterval = leaseTime / 3
+	// takeOverAfter is the time without a change after which a lease is taken
+	// over. It is counted on the observer's own clock; the quarter covers the
+	// difference between two clocks' speeds.
+	takeOverAfter = leaseTime + leaseTime/4
+)
+
+// leaseRank orders the hosts that may plan.
+func leaseRank(host string) uint64 { return xxhash.Sum64String(host + "\x00" + leaseName) }
+
+func compareKeys(a1, a2, b1, b2 string) int {
+	return cmp.Or(cmp.Compare(a1, b1), cmp.Compare(a2, b2))
+}
+
+// plannerLease is a host's view of the lease object. It is used by one goroutine.
+type plannerLease struct {
+	cfg Config
+	// record and version are the object as last read or written.
+	record  *schema.PlannerLease
+	version uint64
+	// changed is when a read first showed the version.
+	changed clock.Millis
+	held    bool
+	until   clock.Millis
+	next    clock.Millis
+}
+
+func newPlannerLease(cfg Config) *plannerLease {
+	return &plannerLease{cfg: cfg, record: &schema.PlannerLease{}, changed: cfg.Clock.Now()}
+}
+
+// valid reports whether the host may act as planner now.
+func (p *plannerLease) valid() bool { return p.held && p.cfg.Clock.Now() < p.until }
+
+// step renews the lease, or takes it when the host is a candidate and the
+// holder has shown no sign of life. It reports whether the lease was taken.
+func (p *plannerLease) step(ctx context.Context, candidate, leaving bool) bool {
+	now := p.cfg.Clock.Now()
+	if p.held && now >= p.until {
+		p.drop("expired")
+	}
+	if now < p.next || !p.held && (!candidate || leaving) {
+		return false
+	}
+	p.next = now + renewInterval
+	if p.held {
+		p.renew(ctx, leaving)
+		return false
+	}
+	if err := p.read(ctx); err != nil {
+		return false
+	}
+	if !p.free(p.cfg.Clock.Now()) {
+		return false
+	}
+	next := &schema.PlannerLease{Host: p.cfg.Self.Name, Incarnation: p.cfg.Self.Incarnation, Fence: p.record.GetFence() + 1}
+	if p.put(ctx, next) != nil {
+		return false
+	}
+	p.held = true
+	p.cfg.Meter.Add("planner_leases_taken", 1)
+	p.cfg.Log.Info().Uint64("fence", next.GetFence()).Msg("planner_lease_taken")
+	return true
+}
+
+// free reports whether the lease may be taken: it was given back, it belongs to
+// this host or an earlier incarnation of it, or it was seen unchanged for long.
+func (p *plannerLease) free(now clock.Millis) bool {
+	return p.record.GetHost() == "" || p.record.GetHost() == p.cfg.Self.Name || now-p.changed >= takeOverAfter
+}
+
+// renew counts a renewal, or gives the lease back when the host leaves.
+func (p *plannerLease) renew(ctx context.Context, leaving bool) {
+	next := proto.Clone(p.record).(*schema.PlannerLease)
+	next.Renewals++
+	if leaving {
+		next.Host = ""
+	}
+	err := p.put(ctx, next)
+	switch {
+	case err == nil && leaving:
+		p.drop("given_back")
+	case errors.Is(err, storeclient.ErrConflict):
+		p.resolve(ctx)
+	case err != nil:
+		// The next try comes sooner, while the lease is still valid.
+		p.next = p.cfg.Clock.Now() + planRetry
+	}
+}
+
+// resolve reads the lease back after a conflict. If an earlier renewal whose
+// answer was lost took effect, the lease is still this host's; it counts from
+// the next renewal, because the time of the lost one is not known here.
+func (p *plannerLease) resolve(ctx context.Context) {
+	fence := p.record.GetFence()
+	if err := p.read(ctx); err != nil {
+		return
+	}
+	if p.record.GetHost() == p.cfg.Self.Name && p.record.GetIncarnation() == p.cfg.Self.Incarnation && p.record.GetFence() == fence {
+		p.next = p.cfg.Clock.Now()
+		return
+	}
+	p.drop("taken_over")
+}
+
+// read looks at the lease in the store.
+func (p *plannerLease) read(ctx context.Context) error {
+	obj, err := p.cfg.Store.Get(ctx, leaseName)
+	if err != nil && !errors.Is(err, storeclient.ErrNotFound) {
+		return err
+	}
+	record := &schema.PlannerLease{}
+	if err := proto.Unmarshal(obj.Value, record); err != nil {
+		p.cfg.Log.Error().Err(err).Msg("bad_planner_lease")
+		return err
+	}
+	if obj.Version != p.version {
+		p.version, p.changed = obj.Version, p.cfg.Clock.Now()
+	}
+	p.record = record
+	return nil
+}
+
+// put writes the lease under the version last seen. The lease counts from the
+// time at which the write was sent.
+func (p *plannerLease) put(ctx context.Context, next *schema.PlannerLease) error {
+	sent := p.cfg.Clock.Now()
+	value, err := proto.Marshal(next)
+	if err != nil {
+		return err
+	}
+	version, err := p.cfg.Store.Put(ctx, leaseName, value, p.version)
+	if err == nil {
+		p.record, p.version, p.changed, p.until = next, version, sent, sent+leaseTime
+	}
+	return err
+}
+
+// drop ends planning on this host.
+func (p *plannerLease) drop(reason string) {
+	p.held = false
+	p.cfg.Meter.Add("planner_leases_lost", 1)
+	p.cfg.Log.Warn().Uint64("fence", p.record.GetFence()).Str("reason", reason).Msg("planner_lease_lost")
+}
--- /dev/null
+++ b/pkg/controller/plans.go
@@ -0,0 +1,206 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/planner"
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+)
+
+// planRetry is the shortest time between two looks at what there is to plan.
+const planRetry = 500 * clock.Millis(1)
+
+// planLoop holds the planner lease and writes plans. It belongs to the plan
+// goroutine, which waits for the store without holding up control.
+type planLoop struct {
+	c       *Controller
+	planner *planner.Planner
+	pub     *publisher.Publisher
+	lease   *plannerLease
+	// confirmed says that the plan in the store carries the fence of this lease,
+	// so that every write of an earlier planner fails on its version.
+	confirmed bool
+}
+
+// runPlans plans while the host holds the lease.
+func (c *Controller) runPlans(ctx context.Context) {
+	l := &planLoop{c: c, planner: planner.New(), pub: publisher.New(c.cfg.Store), lease: newPlannerLease(c.cfg)}
+	for ctx.Err() == nil {
+		pause(ctx, planRetry.Duration())
+		var view planView
+		if err := c.call(ctx, func() { view = c.planView(c.cfg.Clock.Now()) }); err != nil {
+			return
+		}
+		l.run(ctx, view)
+	}
+}
+
+func (l *planLoop) run(ctx context.Context, v planView) {
+	taken := l.lease.step(ctx, v.candidate, v.leaving)
+	if taken {
+		l.confirmed = false
+	}
+	held := l.lease.valid()
+	l.c.cfg.Meter.Set("planner", map[bool]int64{true: 1}[held])
+	if !held || !v.ready {
+		return
+	}
+	v.input.Fence = l.lease.record.GetFence()
+	next := l.planner.Next(v.input)
+	if next == v.input.Plan {
+		if l.confirmed {
+			return
+		}
+		// The first plan of a lease is written even when nothing changes.
+		next = &schema.Plan{Routes: v.input.Plan.GetRoutes()}
+	}
+	next.Fence = v.input.Fence
+	l.write(ctx, v, next)
+}
+
+// write puts a plan in force if the store still has the plan that it follows.
+func (l *planLoop) write(ctx context.Context, v planView, next *schema.Plan) {
+	log, m := l.c.cfg.Log, l.c.cfg.Meter
+	head, content, err := l.pub.Read(ctx, replicator.Plan)
+	if err != nil {
+		return
+	}
+	stored := &schema.Plan{}
+	if err := proto.Unmarshal(content, stored); err != nil {
+		log.Error().Err(err).Msg("bad_plan")
+		return
+	}
+	if stored.GetFence() > next.GetFence() {
+		l.lease.drop("fenced")
+		m.Add("plans_stale", 1)
+		log.Warn().Uint64("fence", next.GetFence()).Uint64("stored_fence", stored.GetFence()).Msg("plan_refused_stale")
+		return
+	}
+	if head.GetVersion() != v.version {
+		// The plan in force here lags behind the store; it arrives by watch or poll.
+		return
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil || !l.lease.valid() {
+		return
+	}
+	written, err := l.pub.Write(ctx, replicator.Plan, value, v.version, "plan by "+l.c.cfg.Self.Name)
+	switch {
+	case err == nil:
+		l.confirmed = true
+		m.Add("plans_written", 1)
+		log.Info().Uint64("version", written.GetVersion()).Uint64("fence", next.GetFence()).Msg("plan_written")
+		l.c.offer(replicator.Plan, written, value)
+	case errors.Is(err, publisher.ErrConflict):
+		m.Add("plans_stale", 1)
+		log.Warn().Uint64("fence", next.GetFence()).Err(err).Msg("plan_refused_stale")
+	default:
+		m.Add("plans_failed", 1)
+		log.Warn().Uint64("fence", next.GetFence()).Err(err).Msg("plan_not_written")
+	}
+}
+
+// planView is what the plan goroutine needs of the control state.
+type planView struct {
+	input     planner.Input
+	version   uint64
+	candidate bool
+	leaving   bool
+	ready     bool
+}
+
+// silentHost is how long a silent host's figures stay in the sums. They are old
+// then, so its region takes no more traffic until it is known what became of it.
+const silentHost = 10 * clock.Second
+
+// planView runs on the control goroutine.
+func (c *Controller) planView(now clock.Millis) planView {
+	v := planView{
+		version: c.docs.Version(replicator.Plan), candidate: c.planCandidate(now),
+		leaving: c.state == schema.HostState_HOST_STATE_LEAVING, ready: c.input.Ready,
+		input: planner.Input{
+			Config: c.input.Config, Drains: c.input.Drains, Plan: c.input.Plan,
+			Live: make(map[string]bool), Elapsed: now - c.planSince,
+		},
+	}
+	for region, health := range c.input.RegionHealth {
+		v.input.Live[region] = health > 0
+	}
+	sums := newLoadSums()
+	sums.add(c.self(), 0)
+	for _, m := range c.members.Members() {
+		if age, seen := m.Age(now); seen && age <= silentHost {
+			sums.add(m.Info(), age)
+		}
+	}
+	v.input.Loads, v.input.Demands = sums.lists()
+	return v
+}
+
+// planCandidates is the number of hosts that try to take the lease.
+const planCandidates = 2
+
+// planCandidate reports whether this host is one of the lowest in rank among the
+// live hosts that reach the store.
+func (c *Controller) planCandidate(now clock.Millis) bool {
+	if !c.hasContact || now-c.contact > leaseTime {
+		return false
+	}
+	self, lower := leaseRank(c.cfg.Self.Name), 0
+	for _, m := range c.members.Members() {
+		age, ok := m.StoreContactAge(now)
+		if ok && age <= leaseTime && m.Live(now) && m.Info().GetState() == schema.HostState_HOST_STATE_LIVE &&
+			leaseRank(m.Info().GetName()) < self {
+			lower++
+		}
+	}
+	return lower < planCandidates
+}
+
+// loadSums adds up the figures of the hosts by service and region.
+type loadSums struct {
+	loads   map[[2]string]planner.Load
+	demands map[[2]string]planner.Demand
+}
+
+func newLoadSums() *loadSums {
+	return &loadSums{make(map[[2]string]planner.Load), make(map[[2]string]planner.Demand)}
+}
+
+func (s *loadSums) add(info *schema.HostInfo, age clock.Millis) {
+	for _, p := range info.GetPools() {
+		key := [2]string{p.GetService(), info.GetRegion()}
+		l := s.loads[key]
+		s.loads[key] = planner.Load{
+			Service: key[0], Region: key[1], Slots: l.Slots + p.GetSlots(), InUse: l.InUse + p.GetInUse(),
+			Queued: l.Queued + p.GetQueued(), Granted: l.Granted + p.GetGranted(), Age: max(l.Age, age),
+		}
+	}
+	for _, d := range info.GetDemands() {
+		key := [2]string{d.GetService(), info.GetRegion()}
+		s.demands[key] = planner.Demand{
+			Service: key[0], Region: key[1], RatePerS: s.demands[key].RatePerS + d.GetRatePerS(),
+			Age: max(s.demands[key].Age, age),
+		}
+	}
+}
+
+// lists returns the sums in order of service and region.
+func (s *loadSums) lists() (loads []planner.Load, demands []planner.Demand) {
+	for _, l := range s.loads {
+		loads = append(loads, l)
+	}
+	for _, d := range s.demands {
+		demands = append(demands, d)
+	}
+	slices.SortFunc(loads, func(a, b planner.Load) int { return compareKeys(a.Service, a.Region, b.Service, b.Region) })
+	slices.SortFunc(demands, func(a, b planner.Demand) int { return compareKeys(a.Service, a.Region, b.Service, b.Region) })
+	return loads, demands
+}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,119 @@
+// Package router picks the serving region of a request: by the plan's weights,
+// by its failover weights when a region cannot be used, and then the other
+// regions as fallback.
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"catkindyke/pkg/planner"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/snapshotter"
+)
+
+const (
+	// Points is the number of points that requests of a route are spread over;
+	// a weight of one per mille stands for one point.
+	Points = 1000
+	// stride is coprime to Points, so that 1000 requests in a row meet each point
+	// once, and far enough from a simple fraction that short runs are even too.
+	stride = 617
+	// healthStride decorrelates the spread over a returning region's ramp from
+	// the spread over weights.
+	healthStride = 389
+)
+
+// Point returns the point of the nth request of a route.
+func Point(n uint64) int { return int(n % Points * stride % Points) }
+
+// BucketName names the shift bucket of a service and link.
+func BucketName(service, from, to string) string {
+	return "shift/" + service + "/" + from + "/" + to
+}
+
+// Query is a request that needs a region.
+type Query struct {
+	Service string
+	// Home is the region where the request entered.
+	Home string
+	// Point is from Point.
+	Point int
+}
+
+// Decision is an ordered list of regions with its reasons.
+type Decision struct {
+	// Regions are the regions to try, in order; the home region stands alone when
+	// none can be used.
+	Regions []string
+	// Weights are the plan's weights that the pick was made by; none without a plan.
+	Weights []*schema.Weight
+	// Lost is the region whose failover weights replaced them, if any.
+	Lost string
+}
+
+// Decide returns the regions to try for a request.
+func Decide(snap *snapshotter.Snapshot, q Query) Decision {
+	route := planner.RouteOf(snap.Plan(), q.Service, q.Home)
+	d := Decision{Weights: route.GetWeights()}
+	for _, w := range d.Weights {
+		if !takes(snap, q, w.GetRegion()) {
+			d.Lost = w.GetRegion()
+			d.Weights = planner.FailoverOf(route, d.Lost)
+			break
+		}
+	}
+	pick := q.Home
+	if len(d.Weights) > 0 {
+		pick = choose(d.Weights, q.Point)
+	}
+	for _, r := range append([]string{pick}, fallback(snap, q.Home)...) {
+		if Usable(snap, q.Service, r) && !slices.Contains(d.Regions, r) {
+			d.Regions = append(d.Regions, r)
+		}
+	}
+	if len(d.Regions) == 0 {
+		d.Regions = []string{q.Home}
+	}
+	return d
+}
+
+// Usable reports whether a region has live hosts and servers that are not drained.
+func Usable(snap *snapshotter.Snapshot, service, region string) bool {
+	svc, ok := snap.Service(service)
+	return ok && snap.RegionHealth(region) > 0 && len(svc.Servers(region)) > 0
+}
+
+// takes reports whether a region takes the request; one that has returned
+// takes a part that grows.
+func takes(snap *snapshotter.Snapshot, q Query, region string) bool {
+	return Usable(snap, q.Service, region) && q.Point*healthStride%Points < snap.RegionHealth(region)
+}
+
+// choose returns the region whose part of the weights holds the point.
+func choose(weights []*schema.Weight, point int) string {
+	for _, w := range weights {
+		if point < int(w.GetPerMille()) {
+			return w.GetRegion()
+		}
+		point -= int(w.GetPerMille())
+	}
+	return weights[len(weights)-1].GetRegion()
+}
+
+// fallback returns home and then the other regions, those behind the widest
+// link first. Regions without a link have no shift bucket and stay out.
+func fallback(snap *snapshotter.Snapshot, home string) []string {
+	var links []*schema.Link
+	for _, l := range snap.Config().GetLinks() {
+		if l.GetFrom() == home {
+			links = append(links, l)
+		}
+	}
+	slices.SortStableFunc(links, func(a, b *schema.Link) int { return cmp.Compare(b.GetCapacityMbitS(), a.GetCapacityMbitS()) })
+	out := []string{home}
+	for _, l := range links {
+		out = append(out, l.GetTo())
+	}
+	return out
+}
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -142,13 +142,18 @@
 // reason to go to another region; that is left to the plan.
 func (h *Host) acquire(ctx context.Context, svc *snapshotter.Service, workspace string, exclude []string) (forwarder.Permit, error) {
 	snap := h.Snapshot()
-	for _, region := range regionOrder(snap) {
+	refusal := error(&forwarder.AcquireError{Reason: dispatcher.ReasonNoServer, RetryAfter: clock.Second})
+	for _, region := range h.regionOrder(snap, svc.Config().GetName(), len(exclude) > 0) {
+		if err := h.mayShift(ctx, svc.Config().GetName(), region); err != nil {
+			refusal = err
+			continue
+		}
 		permit, err := h.acquireIn(ctx, snap, svc, region, workspace, exclude)
 		if err == nil || !errors.Is(err, errNoOwner) {
 			return permit, err
 		}
 	}
-	return forwarder.Permit{}, &forwarder.AcquireError{Reason: dispatcher.ReasonNoServer, RetryAfter: clock.Second}
+	return forwarder.Permit{}, refusal
 }
 
 func (h *Host) acquireIn(ctx context.Context, snap *snapshotter.Snapshot, svc *snapshotter.Service, region, workspace string, exclude []string) (forwarder.Permit, error) {
--- a/pkg/runner/regions.go
+++ b/pkg/runner/regions.go
@@ -1,16 +1,56 @@
 package runner
 
-import "catkindyke/pkg/snapshotter"
-
-// regionOrder returns the regions to try for a request: the host's own, then
-// the others in the order of the configuration.
-func regionOrder(snap *snapshotter.Snapshot) []string {
-	own := snap.Self().Region
-	order := []string{own}
-	for _, r := range snap.Config().GetRegions() {
-		if r.GetName() != own {
-			order = append(order, r.GetName())
-		}
+import (
+	"context"
+	"sync"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/controller"
+	"catkindyke/pkg/forwarder"
+	"catkindyke/pkg/router"
+	"catkindyke/pkg/snapshotter"
+)
+
+// reasonShiftCap refuses a request that may run only in other regions, all of
+// whose shift buckets are empty.
+const reasonShiftCap = "shift_cap"
+
+// shifts counts the requests of each service, to spread them over the regions.
+type shifts struct {
+	mu     sync.Mutex
+	counts map[string]uint64
+}
+
+func newShifts() *shifts { return &shifts{counts: make(map[string]uint64)} }
+
+func (s *shifts) next(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[service]++
+	return router.Point(s.counts[service])
+}
+
+// regionOrder returns the regions to try for a request, and counts the request
+// as demand when it is not a repeat.
+func (h *Host) regionOrder(snap *snapshotter.Snapshot, service string, repeat bool) []string {
+	if !repeat {
+		h.meter.Add(controller.DemandCounter(service), 1)
+	}
+	q := router.Query{Service: service, Home: snap.Self().Region, Point: h.shifts.next(service)}
+	return router.Decide(snap, q).Regions
+}
+
+// mayShift takes a token of the shift bucket for a request to another region.
+func (h *Host) mayShift(ctx context.Context, service, region string) error {
+	home := h.cfg.Region
+	if region == home {
+		return nil
+	}
+	ok, wait := h.controller.Admit(ctx, router.BucketName(service, home, region))
+	if !ok {
+		h.meter.Add("shift_cap_reached", 1)
+		return &forwarder.AcquireError{Reason: reasonShiftCap, RetryAfter: max(wait, clock.Millis(1))}
 	}
-	return order
+	h.meter.Add("shifted", 1)
+	return nil
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -77,6 +77,7 @@
 	slots   *slots
 	owners  *ownerStats
 	health  http.RoundTripper
+	shifts  *shifts
 }
 
 // connectionsPerServer bounds one host's connections to a backend server. With
@@ -99,7 +100,7 @@
 	}
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Host{cfg: cfg, meter: meter.New(), cancel: cancel, running: ctx, owners: newOwnerStats(), health: health}
+	h := &Host{cfg: cfg, meter: meter.New(), cancel: cancel, running: ctx, owners: newOwnerStats(), health: health, shifts: newShifts()}
 	provider, err := tracer.New(ctx, cfg.Tracing)
 	if err != nil {
 		cancel()
--- a/pkg/snapshotter/snapshotter.go
+++ b/pkg/snapshotter/snapshotter.go
@@ -45,6 +45,8 @@
 	SiteBlocks *locator.Table
 	// Hosts are the live hosts, the host itself included.
 	Hosts []Host
+	// RegionHealth is the part of its traffic that each region takes, in per mille.
+	RegionHealth map[string]int
 	// Ready says that the host has a configuration in force.
 	Ready bool
 	// KeyDeadline is the time until which requests that need a key may be
@@ -133,6 +135,10 @@
 // Hosts returns the live hosts.
 func (s *Snapshot) Hosts() []Host { return s.in.Hosts }
 
+// RegionHealth returns the part of its traffic that a region takes, in per
+// mille; zero when it counts as failed.
+func (s *Snapshot) RegionHealth(region string) int { return s.in.RegionHealth[region] }
+
 // Ready reports whether a configuration is in force.
 func (s *Snapshot) Ready() bool { return s.in.Ready }
 
--- /dev/null
+++ b/pkg/tracker/regions.go
@@ -0,0 +1,82 @@
+package tracker
+
+import "catkindyke/pkg/clock"
+
+const (
+	// ReturnAfter is how long a failed region has to be heard without a gap
+	// before it takes traffic from other regions again.
+	ReturnAfter = 3 * clock.Second
+	// ReturnRamp is the time in which a returned region's part grows to the whole.
+	ReturnRamp = 10 * clock.Second
+	// WholeHealth is the health of a region that takes its whole part, in per mille.
+	WholeHealth = 1000
+)
+
+// RegionEvent tells that a region started to count as failed or returned.
+type RegionEvent struct {
+	Region string
+	Failed bool
+}
+
+// Regions follows which regions have live hosts, as seen from one host. A host
+// counts as live for SuspectAfter, so a region fails when none of its hosts was
+// heard for longer.
+type Regions struct {
+	byName map[string]*regionState
+}
+
+type regionState struct {
+	failed bool
+	// since is when the region failed, or when it was heard again after that.
+	since clock.Millis
+	heard bool
+	// fresh says that the region was never heard since the host began to look.
+	fresh bool
+	// ramp says that the region has returned and since starts its ramp.
+	ramp bool
+}
+
+// NewRegions returns a Regions that has seen no region yet.
+func NewRegions() *Regions { return &Regions{byName: make(map[string]*regionState)} }
+
+// Observe takes the regions of the configuration and those with a live host,
+// and returns what changed.
+func (g *Regions) Observe(regions []string, live map[string]bool, now clock.Millis) []RegionEvent {
+	var events []RegionEvent
+	for _, name := range regions {
+		s := g.byName[name]
+		if s == nil {
+			s = &regionState{failed: !live[name], fresh: true, since: now}
+			g.byName[name] = s
+		}
+		switch {
+		case !live[name] && !s.failed:
+			*s = regionState{failed: true, since: now}
+			events = append(events, RegionEvent{name, true})
+		case !live[name]:
+			s.heard = false
+		case s.failed && s.fresh && now-s.since <= ReturnAfter:
+			// The host itself has just started and hears its peers for the first time.
+			*s = regionState{}
+		case s.failed && !s.heard:
+			s.heard, s.since = true, now
+		case s.failed && now-s.since >= ReturnAfter:
+			*s = regionState{ramp: true, since: now}
+			events = append(events, RegionEvent{name, false})
+		}
+	}
+	return events
+}
+
+// Health returns the part of its traffic that a region takes, in per mille; a
+// region that was never observed takes none.
+func (g *Regions) Health(name string, now clock.Millis) int {
+	s := g.byName[name]
+	switch {
+	case s == nil || s.failed:
+		return 0
+	case !s.ramp:
+		return WholeHealth
+	}
+	return int(min(WholeHealth, 1+(now-s.since)*WholeHealth/ReturnRamp))
+}
--- /dev/null
+++ b/pkg/tracker/regions_test.go
@@ -0,0 +1,41 @@
+package tracker
+
+import (
+	"testing"
+
+	"catkindyke/pkg/clock"
+)
+
+// TestRegions guards against a region that takes its whole traffic at once
+// after a failure, or that counts as returned while it comes and goes.
+func TestRegions(t *testing.T) {
+	g, names := NewRegions(), []string{"south"}
+	events := 0
+	at := func(now clock.Millis, live bool, want int, step string) {
+		t.Helper()
+		events += len(g.Observe(names, map[string]bool{"south": live}, now))
+		if got := g.Health("south", now); got != want {
+			t.Errorf("%s: health %d, want %d", step, got, want)
+		}
+	}
+	at(0, true, 1000, "first seen")
+	at(1000, false, 0, "failed")
+	at(2000, true, 0, "heard again")
+	at(4000, false, 0, "silent within ReturnAfter")
+	at(5000, true, 0, "heard again")
+	at(7999, true, 0, "just before ReturnAfter")
+	at(8000, true, 1, "returned")
+	at(13000, true, 501, "half of the ramp")
+	at(18000, true, 1000, "end of the ramp")
+	if events != 2 {
+		t.Errorf("%d events, want one failure and one return", events)
+	}
+	g.Observe([]string{"east"}, nil, 0)
+	g.Observe([]string{"east"}, map[string]bool{"east": true}, 500)
+	if got := g.Health("east", 500); got != WholeHealth {
+		t.Errorf("region heard for the first time after a start has health %d", got)
+	}
+	if got := g.Health("unknown", 0); got != 0 {
+		t.Errorf("unknown region has health %d", got)
+	}
+}
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -39,6 +39,9 @@
 	return m.seen && now-m.heard <= SuspectAfter
 }
 
+// Age returns the time since news of the host arrived, or false when none did.
+func (m Member) Age(now clock.Millis) (clock.Millis, bool) { return now - m.heard, m.seen }
+
 // StoreContactAge returns the time since the host last had store contact, or
 // false when none is known.
 func (m Member) StoreContactAge(now clock.Millis) (clock.Millis, bool) {
