Test planners, drains and lost regions with real hosts

Cause: the lease and the shift buckets had no test in a fleet.

Change: scenarios in virtual time: planner killed, cut off, asleep over its write, store down, answers lost, region drained, region lost and back.

--- /dev/null
+++ b/pkg/runner/plans_test.go
@@ -0,0 +1,290 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/forwarder"
+	"catkindyke/pkg/logger"
+	"catkindyke/pkg/planner"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+const (
+	testStep = 100
+	// takeOverLimit is the time in which a new planner writes: the lease of 6 s
+	// with its quarter, one look of 2 s at the lease, and 2 s for the plan to be
+	// in force everywhere.
+	takeOverLimit = 7500*time.Millisecond + 2*time.Second + inForceTarget
+)
+
+// addLinks links the two regions and waits for the first plan.
+func (fl *fleet) addLinks(capPerS float64) {
+	fl.t.Helper()
+	cfg := fl.config()
+	for _, l := range [][2]string{{"north", "south"}, {"south", "north"}} {
+		cfg.Links = append(cfg.Links, &schema.Link{
+			From: l[0], To: l[1], CapacityMbitS: 4000, ShiftCapPerS: capPerS, ShiftStepPerMille: testStep,
+		})
+	}
+	cfg.Settings.PlanIntervalMs = 1000
+	fl.waitFor("links", inForceLimit, fl.inForce(replicator.Config, fl.write(replicator.Config, cfg)))
+	fl.waitFor("plan with routes", takeOverLimit, func() bool {
+		p, version := fl.plan()
+		return len(p.GetRoutes()) == 2 && fl.inForce(replicator.Plan, version)()
+	})
+}
+
+func (fl *fleet) config() *schema.Config {
+	for _, h := range fl.hosts {
+		return proto.Clone(h.Snapshot().Config()).(*schema.Config)
+	}
+	return nil
+}
+
+// planner returns the one host that plans; it fails when there are two.
+func (fl *fleet) planner() string {
+	fl.t.Helper()
+	found := ""
+	for name, h := range fl.hosts {
+		if h.Meter().Get("planner") == 1 {
+			if found != "" {
+				fl.t.Fatalf("%s and %s both plan", found, name)
+			}
+			found = name
+		}
+	}
+	return found
+}
+
+// plan returns the plan in the store.
+func (fl *fleet) plan() (*schema.Plan, uint64) {
+	fl.t.Helper()
+	head, content, err := fl.pub.Read(fl.t.Context(), replicator.Plan)
+	assertNoError(fl.t, err, "read plan")
+	p := &schema.Plan{}
+	assertNoError(fl.t, proto.Unmarshal(content, p), "decode plan")
+	return p, head.GetVersion()
+}
+
+// TestPlannerReplaced guards against a fleet that never plans again after its
+// planner died, and against two hosts that plan at once.
+func TestPlannerReplaced(t *testing.T) {
+	withFleet(t, 8, func(fl *fleet) {
+		fl.addLinks(50)
+		before, _ := fl.plan()
+		fl.kill(fl.planner())
+		took := fl.waitFor("new planner's plan", takeOverLimit, func() bool {
+			fl.planner()
+			now, _ := fl.plan()
+			return now.GetFence() > before.GetFence()
+		})
+		t.Logf("taken over after %s", took)
+	})
+}
+
+// TestPlannerCutOff guards against a planner that goes on planning without the
+// store, and against one that plans again with its old lease.
+func TestPlannerCutOff(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.addLinks(50)
+		before, _ := fl.plan()
+		old := fl.planner()
+		at := fl.places[old]
+		store := emulator.Place{Region: "store"}
+		fl.network.Listen("store:1", store, fl.platform)
+		fl.network.SetCut(func(from, to emulator.Place) bool {
+			return from == at && to == store || from == store && to == at
+		})
+		fl.waitFor("take-over", takeOverLimit, func() bool {
+			now, _ := fl.plan()
+			return now.GetFence() > before.GetFence()
+		})
+		if got := fl.planner(); got == old {
+			t.Errorf("%s still plans without the store", old)
+		}
+		fl.network.SetCut(nil)
+		time.Sleep(20 * time.Second)
+		now, _ := fl.plan()
+		if got := fl.planner(); got == old || now.GetFence() != before.GetFence()+1 {
+			t.Errorf("%s plans with fence %d, want another host with %d", got, now.GetFence(), before.GetFence()+1)
+		}
+	})
+}
+
+// heldWrites holds back writes of the plan's head on their way to the store.
+type heldWrites struct {
+	next http.RoundTripper
+	hold chan struct{}
+	held chan struct{}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (h *heldWrites) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, replicator.HeadName(replicator.Plan)) {
+		select {
+		case h.held <- struct{}{}:
+			<-h.hold
+			// The host that sent it gave up; the write still reaches the store.
+			r = r.WithContext(context.WithoutCancel(r.Context()))
+		default:
+		}
+	}
+	return h.next.RoundTrip(r)
+}
+
+// TestLateWriteFails guards against the plan of a planner that slept on its way
+// to the store and was replaced meanwhile.
+func TestLateWriteFails(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		// Every host's first plan is held back, so the first planner sleeps.
+		hold, held := make(chan struct{}), make(chan struct{}, 1)
+		for name, at := range fl.places {
+			fl.kill(name)
+			fl.startVia(name, at, &heldWrites{next: fl.network.Transport(at), hold: hold, held: held})
+		}
+		fl.waitFor("write held back", 2*takeOverLimit, func() bool { return len(held) == 1 })
+		sleeper := fl.planner()
+		fl.waitFor("plan of another host", 3*takeOverLimit, func() bool {
+			now, _ := fl.plan()
+			return now.GetFence() > 1
+		})
+		before, version := fl.plan()
+		close(hold)
+		time.Sleep(10 * time.Second)
+		after, v := fl.plan()
+		if after.GetFence() != before.GetFence() || v != version {
+			t.Errorf("after the late write fence %d version %d, before it %d %d", after.GetFence(), v, before.GetFence(), version)
+		}
+		if got := fl.hosts[sleeper].Meter().Get("plans_stale") + fl.hosts[sleeper].Meter().Get("plans_failed"); got == 0 {
+			t.Errorf("%s did not notice that its plan was refused", sleeper)
+		}
+	})
+}
+
+// startVia starts a host whose calls to the store use a transport of the test.
+func (fl *fleet) startVia(name string, at emulator.Place, store http.RoundTripper) {
+	fl.t.Helper()
+	h, err := Start(Config{
+		Name: name, Region: at.Region, AvailabilityZone: at.AvailabilityZone, StoreURL: storeURL,
+		CallerAddress: name + ":1", PeerAddress: name + ":2", Log: logger.Discard(),
+		StoreTransport: store, BackendTransport: fl.network.Transport(at), Dial: fl.network.Peer(at),
+	})
+	assertNoError(fl.t, err, "start "+name)
+	fl.hosts[name], fl.places[name] = h, at
+	fl.network.ListenPeer(name+":2", at, h.PeerCore())
+	fl.platform.SetHost(storeclient.Host{
+		Name: name, State: storeclient.HostLive, Region: at.Region, AvailabilityZone: at.AvailabilityZone,
+		Address: name + ":1", PeerAddress: name + ":2",
+	})
+}
+
+// TestPlanWithStoreDown guards against a plan that changes or is lost while
+// nobody can write one.
+func TestPlanWithStoreDown(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.addLinks(50)
+		_, version := fl.plan()
+		fl.platform.SetFaults(emulator.Faults{Down: true})
+		for range 60 {
+			time.Sleep(time.Second)
+			for name, h := range fl.hosts {
+				if got := h.Snapshot().Versions()[replicator.Plan]; got != version {
+					t.Fatalf("%s has plan %d in force, want %d", name, got, version)
+				}
+				assertStatus(t, fl.get(name, "/dispatch/open", ""), http.StatusOK, "request at "+name)
+			}
+		}
+		if got := fl.planner(); got != "" {
+			t.Errorf("%s plans without the store", got)
+		}
+	})
+}
+
+// TestLostWriteAnswers guards against a planner that counts as lost, or writes
+// twice, because the store's answers are lost.
+func TestLostWriteAnswers(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.addLinks(50)
+		before, _ := fl.plan()
+		for range 10 {
+			fl.platform.SetFaults(emulator.Faults{LoseWriteAnswers: 1})
+			time.Sleep(3 * time.Second)
+		}
+		if now, _ := fl.plan(); now.GetFence() != before.GetFence() {
+			t.Errorf("fence %d, want %d", now.GetFence(), before.GetFence())
+		}
+	})
+}
+
+// TestRegionDrained guards against a drained region that keeps traffic, and
+// against a shift over its cap.
+func TestRegionDrained(t *testing.T) {
+	const capPerS = 20
+	withFleet(t, 4, func(fl *fleet) {
+		fl.addLinks(capPerS)
+		start := time.Now()
+		version := fl.write(replicator.Drains, &schema.Drains{Regions: []string{"north"}})
+		fl.waitFor("drain", inForceTarget, fl.inForce(replicator.Drains, version))
+		fl.waitFor("no weight at north", inForceTarget+30*time.Second, func() bool {
+			p, _ := fl.plan()
+			weights := planner.RouteOf(p, "dispatch", "north").GetWeights()
+			return len(weights) == 1 && weights[0].GetRegion() == "south"
+		})
+		t.Logf("weights at north are zero after %s", time.Since(start))
+		start = time.Now()
+		passed, refused := 0, 0
+		for range 400 {
+			resp := fl.get("host-0", "/dispatch/open", "")
+			switch {
+			case resp.StatusCode == http.StatusOK:
+				passed++
+				if got := resp.Header.Get(forwarder.ServerHeader); got != "backend-1" && got != "backend-3" {
+					t.Fatalf("a request ran at %s in the drained region", got)
+				}
+			case resp.Header.Get(forwarder.OutcomeHeader) == string(forwarder.NotRun):
+				refused++
+			default:
+				t.Fatalf("status %d, outcome %q", resp.StatusCode, resp.Header.Get(forwarder.OutcomeHeader))
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		limit := capPerS*time.Since(start).Seconds() + capPerS
+		t.Logf("%d passed, %d refused, at most %.0f may pass", passed, refused, limit)
+		if float64(passed) > limit || passed == 0 || refused == 0 {
+			t.Errorf("%d passed and %d refused, at most %.0f may pass", passed, refused, limit)
+		}
+	})
+}
+
+// TestRegionLost guards against requests that go to a region without live
+// hosts, and against one that gets its whole part back at once.
+func TestRegionLost(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.addLinks(50)
+		fl.kill("host-1")
+		fl.kill("host-3")
+		north := fl.hosts["host-0"]
+		fl.waitFor("south counts as failed", 3*time.Second, func() bool { return north.Snapshot().RegionHealth("south") == 0 })
+		for range 100 {
+			resp := fl.get("host-0", "/dispatch/open", "")
+			assertStatus(t, resp, http.StatusOK, "request")
+			if got := resp.Header.Get(forwarder.ServerHeader); got != "backend-0" && got != "backend-2" {
+				t.Fatalf("a request ran at %s in the lost region", got)
+			}
+		}
+		fl.start("host-1", testPlaces[1])
+		took := fl.waitFor("south takes its whole part", 30*time.Second, func() bool { return north.Snapshot().RegionHealth("south") == 1000 })
+		if took < 13*time.Second {
+			t.Errorf("the whole part is back after %s; 3 s of news and a ramp of 10 s come first", took)
+		}
+	})
+}
