--- a/pkg/runner/regions.go
+++ b/pkg/runner/regions.go
@@ -54,3 +54,8 @@
 	h.meter.Add("shifted", 1)
 	return nil
 }
+
+// tokens returns the tokens of a bucket that the host holds.
+func (h *Host) tokens(bucket string) float64 {
+	return h.controller.Limiter().Tokens(bucket, h.clock.Now())
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -131,7 +131,9 @@
 		Transport: cfg.BackendTransport,
 		Claims:    claimer.New(claimer.Config{Store: h.store}),
 	})
-	api := apiserver.Config{Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder, Clock: clk, StoreCalls: h.storeCalls}
+	api := apiserver.Config{
+		Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder, Clock: clk, StoreCalls: h.storeCalls, Tokens: h.tokens,
+	}
 	h.caller = newServer(apiserver.Caller(api))
 	h.operator = newServer(apiserver.Operator(api))
 	if err := h.listen(ctx); err != nil {
--- a/pkg/snapshotter/snapshotter.go
+++ b/pkg/snapshotter/snapshotter.go
@@ -105,6 +105,9 @@
 // Config returns the configuration in force.
 func (s *Snapshot) Config() *schema.Config { return s.in.Config }
 
+// Keys returns the keys in force.
+func (s *Snapshot) Keys() *schema.Keys { return s.in.Keys }
+
 // Drains returns the drains in force.
 func (s *Snapshot) Drains() *schema.Drains { return s.in.Drains }
 
--- a/service/apiserver/apiserver.go
+++ b/service/apiserver/apiserver.go
@@ -22,6 +22,8 @@
 	Clock clock.Clock
 	// StoreCalls returns the reads and writes made on the object API.
 	StoreCalls func() (reads, writes int64)
+	// Tokens returns the tokens of a bucket that the host holds.
+	Tokens func(bucket string) float64
 }
 
 // Caller returns the handler for callers: look-ups and requests.
@@ -36,6 +38,7 @@
 func Operator(cfg Config) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", cfg.status)
+	mux.HandleFunc("GET /v1/explain", cfg.explain)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", cfg.ready)
 	mux.Handle("GET /debug/vars", expvar.Handler())
--- /dev/null
+++ b/service/apiserver/explain.go
@@ -0,0 +1,143 @@
+package apiserver
+
+import (
+	"net/http"
+	"slices"
+
+	"catkindyke/pkg/router"
+	"catkindyke/pkg/snapshotter"
+)
+
+// Explanation is the answer to GET /v1/explain: where a request that enters at
+// this host would go, and why.
+type Explanation struct {
+	Host      string `json:"host"`
+	Service   string `json:"service"`
+	Workspace string `json:"workspace"`
+	// Home is the region where the request enters.
+	Home  string            `json:"home"`
+	Key   ExplainedKey      `json:"key"`
+	Rate  ExplainedBucket   `json:"rate"`
+	Plan  ExplainedPlan     `json:"plan"`
+	Order []ExplainedRegion `json:"order"`
+	// Verdict is "served", or the reason of the refusal.
+	Verdict string `json:"verdict"`
+}
+
+// ExplainedKey says whether the path needs a key and the workspace has one.
+type ExplainedKey struct {
+	Needed bool `json:"needed"`
+	// Keys is the number of keys in force for the workspace.
+	Keys int `json:"keys"`
+}
+
+// ExplainedBucket is a fleet-wide limit with this host's tokens.
+type ExplainedBucket struct {
+	Bucket   string  `json:"bucket"`
+	RatePerS float64 `json:"rate_per_s"`
+	// Tokens are what this host holds now; others may lend more.
+	Tokens float64 `json:"tokens"`
+}
+
+// ExplainedPlan is the route's part of the plan in force.
+type ExplainedPlan struct {
+	Version uint64 `json:"version"`
+	Fence   uint64 `json:"fence"`
+	// Weights are in per mille, after failover.
+	Weights map[string]uint32 `json:"weights"`
+	// Lost is the region whose failover weights are used.
+	Lost string `json:"lost,omitempty"`
+}
+
+// ExplainedRegion is one region in the order in which it is tried.
+type ExplainedRegion struct {
+	Region string `json:"region"`
+	// HealthPerMille is the part of its traffic that the region takes.
+	HealthPerMille int              `json:"health_per_mille"`
+	Drained        bool             `json:"drained"`
+	Servers        []string         `json:"servers"`
+	Shift          *ExplainedBucket `json:"shift,omitempty"`
+}
+
+func (cfg Config) explain(w http.ResponseWriter, r *http.Request) {
+	snap, q := cfg.Snapshot(), r.URL.Query()
+	svc, ok := snap.Service(q.Get("service"))
+	if !ok {
+		writeJSON(w, http.StatusNotFound, Error{"unknown service " + q.Get("service")})
+		return
+	}
+	home := q.Get("region")
+	if home == "" {
+		home = snap.Self().Region
+	}
+	out := Explanation{Host: snap.Self().Name, Service: q.Get("service"), Workspace: q.Get("workspace"), Home: home}
+	path := q.Get("path")
+	if path == "" {
+		path = "/" + out.Service
+	}
+	out.Key.Needed = !svc.Open(path)
+	for _, k := range snap.Keys().GetKeys() {
+		if k.GetWorkspace() == out.Workspace {
+			out.Key.Keys++
+		}
+	}
+	out.Rate = ExplainedBucket{Bucket: out.Workspace, Tokens: cfg.Tokens(out.Workspace)}
+	for _, ws := range snap.Config().GetWorkspaces() {
+		if ws.GetName() == out.Workspace {
+			out.Rate.RatePerS = ws.GetRatePerS()
+		}
+	}
+	cfg.explainRegions(snap, svc, &out)
+	out.Verdict = out.verdict()
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (cfg Config) explainRegions(snap *snapshotter.Snapshot, svc *snapshotter.Service, out *Explanation) {
+	d := router.Decide(snap, router.Query{Service: out.Service, Home: out.Home})
+	out.Plan = ExplainedPlan{
+		Version: snap.Versions()["plan"], Fence: snap.Plan().GetFence(), Weights: make(map[string]uint32), Lost: d.Lost,
+	}
+	for _, w := range d.Weights {
+		out.Plan.Weights[w.GetRegion()] = w.GetPerMille()
+	}
+	for _, region := range d.Regions {
+		e := ExplainedRegion{
+			Region: region, HealthPerMille: snap.RegionHealth(region), Servers: []string{},
+			Drained: slices.Contains(snap.Drains().GetRegions(), region),
+		}
+		for _, b := range svc.Servers(region) {
+			e.Servers = append(e.Servers, b.GetName())
+		}
+		if region != out.Home {
+			name := router.BucketName(out.Service, out.Home, region)
+			e.Shift = &ExplainedBucket{Bucket: name, Tokens: cfg.Tokens(name)}
+			for _, l := range snap.Config().GetLinks() {
+				if l.GetFrom() == out.Home && l.GetTo() == region {
+					e.Shift.RatePerS = l.GetShiftCapPerS()
+				}
+			}
+		}
+		out.Order = append(out.Order, e)
+	}
+}
+
+// verdict names the first reason for a refusal, in the order in which a host checks.
+func (e *Explanation) verdict() string {
+	switch {
+	case e.Key.Needed && e.Key.Keys == 0:
+		return "bad_key"
+	case e.Key.Needed && e.Rate.RatePerS == 0:
+		return "rate_limited"
+	}
+	refusal := "no_server"
+	for _, r := range e.Order {
+		switch {
+		case len(r.Servers) == 0:
+		case r.Shift != nil && r.Shift.RatePerS == 0:
+			refusal = "shift_cap"
+		default:
+			return "served in " + r.Region
+		}
+	}
+	return refusal
+}
