End shifts when home and the other region are both full

Cause: traffic that had been shifted stayed in a region with too much traffic of its own, because home was full as well.

Change: traffic comes home without room there when the other region is over its capacity; TestShiftEndsWhenAllAreFull holds the case.

Conclusion: shifts end when they are of no use; the drain is an open case.

--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -256,6 +256,27 @@
 
 func sign(v int) int { return min(1, max(-1, v)) }
 
+// TestShiftEndsWhenAllAreFull guards against a shift that stays in a region
+// with too much traffic of its own because home is full too. Found by planbench.
+func TestShiftEndsWhenAllAreFull(t *testing.T) {
+	w := newWorld(3, 1)
+	w.demand["north"] = 400
+	for range 10 {
+		w.observe()
+		w.next(t, New())
+	}
+	for r := range w.demand {
+		w.demand[r] = 420
+	}
+	for range 10 {
+		w.observe()
+		w.next(t, New())
+	}
+	if got := weightIn(w.in.Plan, "s0", "north", "north"); got != 1000 {
+		t.Errorf("home weight %d, want 1000", got)
+	}
+}
+
 // TestPlans guards against plans that leave home without need, miss spare
 // capacity, or forget the failover weights. A region runs 300/s.
 func TestPlans(t *testing.T) {
--- a/pkg/planner/step.go
+++ b/pkg/planner/step.go
@@ -97,13 +97,17 @@
 func (v *mover) fill(r, from int, want []int) {
 	for to := range want {
 		n := min(v.now[r][from]-want[from], want[to]-v.now[r][to])
-		if v.m.usable[r] {
+		if v.m.usable[r] && !(to == r && v.overloaded(from)) {
 			n = min(n, v.room(r, to))
 		}
 		v.transfer(r, from, to, n)
 	}
 }
 
+// overloaded reports whether a region has more than it runs. Traffic from
+// other regions then goes home even when home is full too, and is refused there.
+func (v *mover) overloaded(d int) bool { return v.load[d] > v.m.capacity[d] }
+
 // transfer moves up to n per mille within the steps of the links.
 func (v *mover) transfer(r, from, to, n int) {
 	n = min(n, v.stepLeft(r, from), v.stepLeft(r, to))
