--- a/pkg/controller/plannerlease.go
+++ b/pkg/controller/plannerlease.go
@@ -35,7 +35,8 @@
 
 // plannerLease is a host's view of the lease object. It is used by one goroutine.
 type plannerLease struct {
-	cfg Config
+	cfg   Config
+	rules leaseRules
 	// record and version are the object as last read or written.
 	record  *schema.PlannerLease
 	version uint64
@@ -46,8 +47,15 @@
 	next    clock.Millis
 }
 
+// leaseRules are the times and steps of the lease; tests replace them to prove
+// that checks fail.
+type leaseRules struct {
+	life, takeOver clock.Millis
+	raise          uint64
+}
+
 func newPlannerLease(cfg Config) *plannerLease {
-	return &plannerLease{cfg: cfg, record: &schema.PlannerLease{}, changed: cfg.Clock.Now()}
+	return &plannerLease{cfg: cfg, record: &schema.PlannerLease{}, changed: cfg.Clock.Now(), rules: leaseRules{leaseTime, takeOverAfter, 1}}
 }
 
 // valid reports whether the host may act as planner now.
@@ -74,8 +82,12 @@
 	if !p.free(p.cfg.Clock.Now()) {
 		return false
 	}
-	next := &schema.PlannerLease{Host: p.cfg.Self.Name, Incarnation: p.cfg.Self.Incarnation, Fence: p.record.GetFence() + 1}
-	if p.put(ctx, next) != nil {
+	next := &schema.PlannerLease{Host: p.cfg.Self.Name, Incarnation: p.cfg.Self.Incarnation, Fence: p.record.GetFence() + p.rules.raise}
+	if err := p.put(ctx, next); err != nil {
+		if errors.Is(err, storeclient.ErrUnavailable) {
+			// The write may have taken effect; the next look reads it back.
+			p.next = p.cfg.Clock.Now() + planRetry
+		}
 		return false
 	}
 	p.held = true
@@ -87,7 +99,7 @@
 // free reports whether the lease may be taken: it was given back, it belongs to
 // this host or an earlier incarnation of it, or it was seen unchanged for long.
 func (p *plannerLease) free(now clock.Millis) bool {
-	return p.record.GetHost() == "" || p.record.GetHost() == p.cfg.Self.Name || now-p.changed >= takeOverAfter
+	return p.record.GetHost() == "" || p.record.GetHost() == p.cfg.Self.Name || now-p.changed >= p.rules.takeOver
 }
 
 // renew counts a renewal, or gives the lease back when the host leaves.
@@ -152,7 +164,7 @@
 	}
 	version, err := p.cfg.Store.Put(ctx, leaseName, value, p.version)
 	if err == nil {
-		p.record, p.version, p.changed, p.until = next, version, sent, sent+leaseTime
+		p.record, p.version, p.changed, p.until = next, version, sent, sent+p.rules.life
 	}
 	return err
 }
