--- a/pkg/controller/plans.go
+++ b/pkg/controller/plans.go
@@ -67,7 +67,7 @@
 
 // write puts a plan in force if the store still has the plan that it follows.
 func (l *planLoop) write(ctx context.Context, v planView, next *schema.Plan) {
-	log, m := l.c.cfg.Log, l.c.cfg.Meter
+	log := l.c.cfg.Log
 	head, content, err := l.pub.Read(ctx, replicator.Plan)
 	if err != nil {
 		return
@@ -79,7 +79,7 @@
 	}
 	if stored.GetFence() > next.GetFence() {
 		l.lease.drop("fenced")
-		m.Add("plans_stale", 1)
+		l.c.cfg.Meter.Add("plans_stale", 1)
 		log.Warn().Uint64("fence", next.GetFence()).Uint64("stored_fence", stored.GetFence()).Msg("plan_refused_stale")
 		return
 	}
@@ -95,14 +95,14 @@
 	switch {
 	case err == nil:
 		l.confirmed = true
-		m.Add("plans_written", 1)
+		l.c.cfg.Meter.Add("plans_written", 1)
 		log.Info().Uint64("version", written.GetVersion()).Uint64("fence", next.GetFence()).Msg("plan_written")
 		l.c.offer(replicator.Plan, written, value)
 	case errors.Is(err, publisher.ErrConflict):
-		m.Add("plans_stale", 1)
+		l.c.cfg.Meter.Add("plans_stale", 1)
 		log.Warn().Uint64("fence", next.GetFence()).Err(err).Msg("plan_refused_stale")
 	default:
-		m.Add("plans_failed", 1)
+		l.c.cfg.Meter.Add("plans_failed", 1)
 		log.Warn().Uint64("fence", next.GetFence()).Err(err).Msg("plan_not_written")
 	}
 }
--- a/pkg/controller/regions.go
+++ b/pkg/controller/regions.go
@@ -54,12 +54,13 @@
 		names = append(names, r.GetName())
 	}
 	for _, e := range c.regions.Observe(names, live, now) {
-		name, metric := "region_returned", "regions_returned"
 		if e.Failed {
-			name, metric = "region_failed", "regions_failed"
+			c.cfg.Meter.Add("regions_failed", 1)
+			c.cfg.Log.Warn().Str("region", e.Region).Msg("region_failed")
+		} else {
+			c.cfg.Meter.Add("regions_returned", 1)
+			c.cfg.Log.Info().Str("region", e.Region).Msg("region_returned")
 		}
-		c.cfg.Meter.Add(metric, 1)
-		c.cfg.Log.Warn().Str("region", e.Region).Msg(name)
 	}
 	health := make(map[string]int)
 	for _, name := range names {
