Do not read a peer's answer after the call gave up

Cause: Heartbeat returned a variable that the control goroutine could still write when the caller's time had ended; the race detector reported it once in TestOwnerDies.

Change: Heartbeat and FetchDocument return nothing with an error. TestCallGivenUp reports the race without the change and passes with it.

Conclusion: an answer is read only when the control goroutine has written it.

--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -104,13 +104,18 @@
 }
 
 // Heartbeat answers a peer's heartbeat.
-func (c *Controller) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (resp *schema.HeartbeatResponse, err error) {
-	err = c.call(ctx, func() {
+func (c *Controller) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error) {
+	// An answer that comes after the call gave up must not be read.
+	var resp *schema.HeartbeatResponse
+	err := c.call(ctx, func() {
 		c.observe(ctx, req.GetSender())
 		promise := c.promise(ctx, req)
 		resp = &schema.HeartbeatResponse{Sender: c.self(), Promise: promise, LedgerVersion: c.leaser.Version()}
 	})
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // FetchDocument returns the document in force of a kind.
@@ -124,5 +129,8 @@
 			resp.Head, resp.Content = doc.Head(), doc.Content()
 		}
 	})
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
--- /dev/null
+++ b/pkg/controller/peers_test.go
@@ -0,0 +1,32 @@
+package controller
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/meter"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/snapshotter"
+)
+
+// TestCallGivenUp guards against an answer that the control goroutine writes
+// while the call that gave up returns it; the race detector reports it.
+func TestCallGivenUp(t *testing.T) {
+	c := New(Config{
+		Self: snapshotter.Host{Name: "a"}, Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
+		Pools: func() []*schema.PoolLoad { return nil },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ran := make(chan struct{})
+	go func() {
+		f := <-c.inbox
+		cancel()
+		f()
+		close(ran)
+	}()
+	_, _ = c.Heartbeat(ctx, &schema.HeartbeatRequest{Sender: &schema.HostInfo{}})
+	<-ran
+}
