--- a/pkg/runner/plans_test.go
+++ b/pkg/runner/plans_test.go
@@ -227,7 +227,7 @@
 
 // TestCalmLedgerNeedsNoWrites guards against renewals of share leases that load
 // the store, and against a planner that writes more than its renewals of the
-// lease every 2 s. It counts what TestCalmLeasesNeedNoWrites means, see KNOWN-RED.txt.
+// lease every 2 s.
 func TestCalmLedgerNeedsNoWrites(t *testing.T) {
 	withFleet(t, 4, func(fl *fleet) {
 		fl.waitFor("all slots held", 20*time.Second, fl.allSlotsHeld)
