--- a/pkg/emulator/network.go
+++ b/pkg/emulator/network.go
@@ -20,6 +20,8 @@
 type Place struct {
 	Region           string
 	AvailabilityZone string
+	// Host tells the endpoints of one zone apart; it is empty when no rule needs it.
+	Host string
 }
 
 // NetworkConfig holds the one-way delays of a network.
--- /dev/null
+++ b/pkg/player/commands.go
@@ -0,0 +1,326 @@
+package player
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// errUsage says that a command has the wrong arguments; docs/scenarios.md lists them.
+var errUsage = errors.New("wrong arguments, see docs/scenarios.md")
+
+// command is one word of the scenario language. file reads a file of the script.
+type command func(p *Player, args []string, file func(string) string) error
+
+// Commands returns the scenario language for testscript.
+func Commands() map[string]func(*testscript.TestScript, bool, []string) {
+	out := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, cmd := range commands() {
+		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			p := ts.Value(valueKey{}).(*Player)
+			p.Log = func(line string) { ts.Logf("%s", line) }
+			if p.cfg == nil && name != "deploy" {
+				ts.Fatalf("%s: a scenario begins with deploy", name)
+			}
+			err := cmd(p, args, ts.ReadFile)
+			if neg && err == nil {
+				ts.Fatalf("%s: was expected to fail", name)
+			}
+			if !neg && err != nil {
+				ts.Fatalf("%s: %v", name, err)
+			}
+		}
+	}
+	return out
+}
+
+// valueKey is where a script keeps its player.
+type valueKey struct{}
+
+func commands() map[string]command {
+	return map[string]command{
+		"deploy":   deployCommand,
+		"traffic":  trafficCommand,
+		"send":     sendCommand,
+		"advance":  advanceCommand,
+		"settle":   func(p *Player, _ []string, _ func(string) string) error { p.operations.Wait(); return nil },
+		"reset":    func(p *Player, _ []string, _ func(string) string) error { p.resetAt = p.now(); return nil },
+		"require":  requireCommand,
+		"await":    awaitCommand,
+		"crash":    oneName((*Player).Kill),
+		"shutdown": oneName((*Player).Stop),
+		"start":    oneName((*Player).Restart),
+		"cut":      func(p *Player, args []string, _ func(string) string) error { return p.Cut(args) },
+		"heal":     func(p *Player, _ []string, _ func(string) string) error { p.Heal(); return nil },
+		"store":    storeCommand,
+		"grant":    twoNames((*Player).Grant),
+		"withdraw": twoNames((*Player).Withdraw),
+		"apply":    applyCommand,
+		"race":     raceCommand,
+		"drain":    drainCommand(true),
+		"undrain":  drainCommand(false),
+		"leave":    backendCommand("leave"),
+		"fail":     failCommand,
+		"recover":  backendCommand("recover"),
+		"slow":     backendCommand("slow"),
+		"hang":     backendCommand("hang"),
+		"mute":     backendCommand("mute"),
+		"lookups":  lookupsCommand,
+	}
+}
+
+// options splits arguments of the form name=value from the others.
+func options(args []string, known map[string]string) ([]string, error) {
+	var rest []string
+	for _, a := range args {
+		name, value, ok := strings.Cut(a, "=")
+		if !ok {
+			rest = append(rest, a)
+			continue
+		}
+		if _, ok := known[name]; !ok {
+			return nil, fmt.Errorf("unknown option %q: %w", name, errUsage)
+		}
+		known[name] = value
+	}
+	return rest, nil
+}
+
+func oneName(f func(*Player, string) error) command {
+	return func(p *Player, args []string, _ func(string) string) error {
+		if len(args) != 1 {
+			return errUsage
+		}
+		return f(p, args[0])
+	}
+}
+
+func twoNames(f func(*Player, string, string) error) command {
+	return func(p *Player, args []string, _ func(string) string) error {
+		if len(args) != 2 {
+			return errUsage
+		}
+		return f(p, args[0], args[1])
+	}
+}
+
+func deployCommand(p *Player, args []string, _ func(string) string) error {
+	opts := map[string]string{"hosts": "8"}
+	rest, err := options(args, opts)
+	if err != nil || len(rest) != 1 {
+		return errors.Join(errUsage, err)
+	}
+	hosts, err := strconv.Atoi(opts["hosts"])
+	if err != nil {
+		return err
+	}
+	return p.Deploy(rest[0], hosts)
+}
+
+func trafficCommand(p *Player, args []string, _ func(string) string) error {
+	opts := map[string]string{
+		"rate": "", "service": "", "for": "10s", "from": "", "method": "mix", "key": "a", "path": "", "seed": "1",
+	}
+	rest, err := options(args, opts)
+	if err != nil || len(rest) != 1 {
+		return errors.Join(errUsage, err)
+	}
+	t := Traffic{
+		Workspace: rest[0], Service: opts["service"], Region: opts["from"], Method: opts["method"],
+		Label: opts["key"], Path: opts["path"],
+	}
+	if t.Path == "" {
+		t.Path = "/" + t.Service + "/x"
+	}
+	var errs [3]error
+	t.Rate, errs[0] = strconv.ParseFloat(opts["rate"], 64)
+	t.For, errs[1] = time.ParseDuration(opts["for"])
+	t.Seed, errs[2] = strconv.ParseUint(opts["seed"], 10, 64)
+	if err := errors.Join(errs[:]...); err != nil {
+		return err
+	}
+	if t.Workspace == "everyone" {
+		return p.sendEveryone(t)
+	}
+	return p.Send(t)
+}
+
+// sendEveryone starts a stream for each workspace; the rate is a share of its limit.
+func (p *Player) sendEveryone(t Traffic) error {
+	part := t.Rate
+	for _, w := range p.cfg.GetWorkspaces() {
+		t.Workspace, t.Rate = w.GetName(), part*w.GetRatePerS()
+		if err := p.Send(t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendCommand sends one request and does not wait for it.
+func sendCommand(p *Player, args []string, _ func(string) string) error {
+	opts := map[string]string{
+		"service": "", "id": "", "from": "", "via": "", "method": http.MethodPost, "key": "a",
+		"idempotency_key": "", "size": "16", "stall": "0s", "path": "",
+	}
+	rest, err := options(args, opts)
+	if err != nil || len(rest) != 1 || opts["id"] == "" || opts["service"] == "" {
+		return errors.Join(errUsage, err)
+	}
+	size, err := strconv.Atoi(opts["size"])
+	if err != nil {
+		return err
+	}
+	stall, err := time.ParseDuration(opts["stall"])
+	if err != nil {
+		return err
+	}
+	req := request{
+		id: opts["id"], workspace: rest[0], service: opts["service"], method: opts["method"],
+		path: "/" + opts["service"] + "/x", idempotencyKey: opts["idempotency_key"], stall: stall,
+	}
+	if opts["path"] != "" {
+		req.path = opts["path"]
+	}
+	if req.method == http.MethodPost {
+		req.once, req.body = true, strings.Repeat("b", size)
+	}
+	if opts["via"] != "" {
+		req.hosts = []string{opts["via"]}
+	}
+	p.mu.Lock()
+	req.key = p.keys[req.workspace][opts["key"]]
+	p.mu.Unlock()
+	region := opts["from"]
+	if region == "" {
+		region = p.cfg.GetRegions()[0].GetName()
+	}
+	c := p.caller(region, 0)
+	p.operations.Go(func() { p.do(c, req) })
+	return nil
+}
+
+func advanceCommand(_ *Player, args []string, _ func(string) string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return nil
+}
+
+// lookupsCommand takes "late 10s".
+func lookupsCommand(p *Player, args []string, _ func(string) string) error {
+	if len(args) != 2 || args[0] != "late" {
+		return errUsage
+	}
+	d, err := time.ParseDuration(args[1])
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateness = d
+	return err
+}
+
+func requireCommand(p *Player, args []string, _ func(string) string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	got, ok, err := p.Holds(args[0], args[1], args[2])
+	if err != nil {
+		return err
+	}
+	p.Log(fmt.Sprintf("%s=%g", args[0], got))
+	if !ok {
+		return fmt.Errorf("%s is %g, want %s %s", args[0], got, args[1], args[2])
+	}
+	return nil
+}
+
+// awaitCommand lets time pass until a metric holds.
+func awaitCommand(p *Player, args []string, _ func(string) string) error {
+	if len(args) != 4 {
+		return errUsage
+	}
+	limit, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	for begin := p.now(); ; time.Sleep(10 * time.Millisecond) {
+		got, ok, err := p.Holds(args[1], args[2], args[3])
+		if err != nil {
+			return err
+		}
+		if ok {
+			p.Log(fmt.Sprintf("%s=%g after %s", args[1], got, p.now()-begin))
+			return nil
+		}
+		if p.now()-begin > limit {
+			return fmt.Errorf("%s is %g after %s, want %s %s", args[1], got, limit, args[2], args[3])
+		}
+	}
+}
+
+func storeCommand(p *Player, args []string, _ func(string) string) error {
+	if len(args) < 1 || len(args) > 2 {
+		return errUsage
+	}
+	return p.Store(args)
+}
+
+func applyCommand(p *Player, args []string, file func(string) string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	return p.Apply(args[0], []byte(file(args[0])))
+}
+
+func raceCommand(p *Player, args []string, _ func(string) string) error {
+	opts := map[string]string{"operators": "2"}
+	rest, err := options(args, opts)
+	if err != nil || len(rest) != 1 {
+		return errors.Join(errUsage, err)
+	}
+	operators, err := strconv.Atoi(opts["operators"])
+	if err != nil {
+		return err
+	}
+	return p.Race(rest[0], operators)
+}
+
+func drainCommand(add bool) command {
+	return func(p *Player, args []string, _ func(string) string) error {
+		if len(args) != 2 {
+			return errUsage
+		}
+		return p.Drain(args[0], args[1], add)
+	}
+}
+
+func failCommand(p *Player, args []string, file func(string) string) error {
+	if len(args) == 2 && args[0] == "region" {
+		return p.FailRegion(args[1])
+	}
+	return backendCommand("fail")(p, args, file)
+}
+
+// backendCommand takes "backend NAME" or "service NAME" and a value for some verbs.
+func backendCommand(verb string) command {
+	return func(p *Player, args []string, _ func(string) string) error {
+		if len(args) < 2 || len(args) > 3 || args[0] != "backend" && args[0] != "service" {
+			return errUsage
+		}
+		value := ""
+		if len(args) == 3 {
+			value = args[2]
+		}
+		return p.Backend(verb, args[1], value)
+	}
+}
--- /dev/null
+++ b/pkg/player/scenarios_test.go
@@ -0,0 +1,127 @@
+package player
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const root = "../.."
+
+// TestScenarios plays each file of _fixtures/scenarios. A scenario listed in
+// KNOWN-RED.txt must fail, so that an entry cannot outlive its fault.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob(root + "/_fixtures/scenarios/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	red := knownRed(t)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".txtar")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ok, log := play(t, file)
+			switch {
+			case red[name] && ok:
+				t.Errorf("passes, but is listed in KNOWN-RED.txt; remove the entry")
+			case red[name]:
+				t.Logf("KNOWN RED, see KNOWN-RED.txt\n%s", log)
+				fmt.Fprintf(os.Stderr, "known red: scenario %s\n", name)
+			case !ok:
+				t.Errorf("%s", log)
+			default:
+				t.Logf("%s", log)
+			}
+		})
+	}
+}
+
+// knownRed reads the names of scenarios that fail because of an open fault,
+// from lines of the form "scenario: NAME".
+func knownRed(t *testing.T) map[string]bool {
+	out := make(map[string]bool)
+	content, err := os.ReadFile(root + "/KNOWN-RED.txt")
+	if os.IsNotExist(err) {
+		return out
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(content)) {
+		if name, ok := strings.CutPrefix(line, "scenario: "); ok {
+			out[strings.TrimSpace(name)] = true
+		}
+	}
+	return out
+}
+
+// play runs one script in the virtual time of a bubble and reports whether it passed.
+func play(t *testing.T, file string) (ok bool, log string) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		r := &scriptRun{}
+		done := make(chan struct{})
+		go func() {
+			// FailNow ends this goroutine, never the test's own.
+			defer close(done)
+			testscript.RunT(r, testscript.Params{
+				Files: []string{file}, Cmds: Commands(), WorkdirRoot: dir,
+				Setup: func(env *testscript.Env) error {
+					p := New(root+"/_fixtures/config", nil)
+					env.Values[valueKey{}] = p
+					env.Defer(func() { r.finish(p) })
+					return nil
+				},
+			})
+		}()
+		<-done
+		ok, log = !r.failed, r.log.String()
+		// The script's environment comes first and is of no interest.
+		if _, rest, found := strings.Cut(log, "\n\n"); found {
+			log = "\n" + rest
+		}
+		log += strings.Join(r.breaches, "\n")
+	})
+	return ok, log
+}
+
+// finish lets requests in flight end and runs every checker.
+func (r *scriptRun) finish(p *Player) {
+	if p.cfg == nil {
+		return
+	}
+	if !r.failed {
+		p.operations.Wait()
+	}
+	p.Close()
+	for _, c := range Checkers {
+		for i, line := range p.check(c) {
+			if i < 5 {
+				r.breaches = append(r.breaches, c.Name+": "+line)
+			}
+			r.failed = true
+		}
+	}
+}
+
+// scriptRun is the testscript.T of one script; it notes a failure instead of
+// failing the test.
+type scriptRun struct {
+	failed   bool
+	log      strings.Builder
+	breaches []string
+}
+
+func (r *scriptRun) Skip(args ...any)                     { r.Fatal(args...) }
+func (r *scriptRun) Fatal(args ...any)                    { r.Log(args...); r.FailNow() }
+func (r *scriptRun) Parallel()                            {}
+func (r *scriptRun) Log(args ...any)                      { fmt.Fprintln(&r.log, args...) }
+func (r *scriptRun) FailNow()                             { r.failed = true; runtime.Goexit() }
+func (r *scriptRun) Run(_ string, f func(t testscript.T)) { f(r) }
+func (r *scriptRun) Verbose() bool                        { return true }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -51,6 +51,8 @@
 	CallerTLS *tls.Config
 	// PeerServerTLS and PeerClientTLS are the two sides of mutual TLS between hosts.
 	PeerServerTLS, PeerClientTLS *tls.Config
+	// OnAdmit, when set, is called for each request that passed its workspace's rate.
+	OnAdmit func(workspace string)
 	// Log makes the loggers.
 	Log *logger.Factory
 	// Tracing says where spans go.
@@ -126,7 +128,7 @@
 		Log: cfg.Log.For(logger.Control), Meter: h.meter,
 	})
 	h.forwarder = forwarder.New(forwarder.Config{
-		Snapshot: h.controller.Snapshot, Admit: h.controller.Admit, Acquire: h.acquire,
+		Snapshot: h.controller.Snapshot, Admit: h.admit, Acquire: h.acquire,
 		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
 		Transport: cfg.BackendTransport,
 		Claims:    claimer.New(claimer.Config{Store: h.store}),
