--- a/pkg/player/commands.go
+++ b/pkg/player/commands.go
@@ -239,7 +239,7 @@
 	}
 	p.Log(fmt.Sprintf("%s=%g", args[0], got))
 	if !ok {
-		return fmt.Errorf("%s is %g, want %s %s", args[0], got, args[1], args[2])
+		return fmt.Errorf("%s is %g, want %s %s; refusals: %v", args[0], got, args[1], args[2], p.refusals())
 	}
 	return nil
 }
--- a/pkg/player/metrics.go
+++ b/pkg/player/metrics.go
@@ -107,6 +107,17 @@
 	return float64(took[i]) / float64(time.Millisecond)
 }
 
+// refusals counts the refused requests since the last reset by reason.
+func (p *Player) refusals() map[string]int {
+	out := make(map[string]int)
+	for _, r := range p.since("") {
+		if r.last.Reason != "" {
+			out[r.last.Reason]++
+		}
+	}
+	return out
+}
+
 // longestTry returns how long one host took at most, in milliseconds.
 func (p *Player) longestTry() float64 {
 	p.journal.mu.Lock()
