--- a/pkg/player/callers.go
+++ b/pkg/player/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -158,7 +157,8 @@
 	r.Header.Set("X-Forwarded-For", c.address)
 	r.RemoteAddr = "127.0.0.1:1"
 	rec := httptest.NewRecorder()
-	if !serveWhole(h.CallerHandler(), rec, r.WithContext(ctx)) || !sleep(ctx, p.delay) {
+	body, _ := r.Body.(*callerBody)
+	if !serveWhole(h.CallerHandler(), answer{rec, body}, r.WithContext(ctx)) || !sleep(ctx, p.delay) {
 		return nil, true
 	}
 	if p.isCut(h.place, c.place) {
@@ -222,12 +222,8 @@
 }
 
 func newRequest(req request, number int) *http.Request {
-	var body io.Reader = strings.NewReader(req.body)
-	if req.stall > 0 {
-		half := len(req.body) / 2
-		body = io.MultiReader(strings.NewReader(req.body[:half]), stalled{req.stall}, strings.NewReader(req.body[half:]))
-	}
-	r := httptest.NewRequest(req.method, req.path, body)
+	r := httptest.NewRequest(req.method, req.path, nil)
+	r.Body = newCallerBody(req.body, req.stall)
 	r.ContentLength = int64(len(req.body))
 	r.Header.Set(emulator.RequestIDHeader, req.id)
 	r.Header.Set(tryHeader, strconv.Itoa(number))
@@ -243,15 +239,6 @@
 	return r
 }
 
-// stalled is a part of a body that takes its time and has no content.
-type stalled struct{ d time.Duration }
-
-// Read implements io.Reader.
-func (s stalled) Read([]byte) (int, error) {
-	time.Sleep(s.d)
-	return 0, io.EOF
-}
-
 // read takes over what an answer says.
 func (t *Try) read(req request, rec *httptest.ResponseRecorder) {
 	t.Status, t.Outcome = rec.Code, rec.Header().Get(forwarder.OutcomeHeader)
