--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test ci generate docs fmt fuzz
+.PHONY: test ci generate docs fmt fuzz measure
 
 test:
 	go test ./...
@@ -18,3 +18,6 @@
 
 fuzz:
 	_scripts/fuzz.sh 30s
+
+measure:
+	@go run ./_scripts/measure
--- /dev/null
+++ b/_scripts/measure/main.go
@@ -0,0 +1,137 @@
+// Command measure prints the figures of the design page's section 1.2 for both
+// deployments. It runs the hosts' limiters, leasers and dispatchers from one
+// event queue with a seed, so that it prints the same each time.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"catkindyke/pkg/parser"
+	"catkindyke/pkg/schema"
+)
+
+type deployment struct {
+	name       string
+	clients    time.Duration
+	services   []service
+	workspaces []*schema.Workspace
+}
+
+// deployments are those of the design page's section 1.3.
+var deployments = []deployment{
+	{name: "sovig", clients: 8 * time.Millisecond, services: []service{
+		{"dispatch", 30, 3, 40 * time.Millisecond, 0.85}, {"survey", 12, 3, 120 * time.Millisecond, 0.15},
+	}},
+	{name: "bollard", clients: 3 * time.Millisecond, services: []service{
+		{"order-desk", 20, 4, 50 * time.Millisecond, 0.8}, {"mill-ledger", 12, 3, 80 * time.Millisecond, 0.2},
+	}},
+}
+
+type testCase struct {
+	name  string
+	load  float64
+	setup func(*world)
+}
+
+var cases = []testCase{
+	{"calm", 0.4, nil},
+	{"peak", 0.9, nil},
+	{"one_tenant_5x", 0.6, func(w *world) { w.factor[w.workspace[0].GetName()] = 5 }},
+	{"region_lost_at_peak", 0.8, func(w *world) { w.After(eventAt, w.loseRegion) }},
+	{"store_away", 0.6, func(w *world) { w.StoreDown = true }},
+	{"drain", 0.5, func(w *world) { w.After(eventAt, w.drainRegion) }},
+}
+
+// loseRegion ends the last region; callers notice when their connections fail.
+func (w *world) loseRegion() {
+	last := regions - 1
+	w.regions[last].gone, w.avoid = true, last
+	for n := range hosts {
+		if w.Host(n).Region() == last {
+			w.Host(n).Crash()
+		}
+	}
+}
+
+// drainRegion drains the last region; its hosts serve until look-ups are renewed.
+func (w *world) drainRegion() {
+	last := regions - 1
+	w.regions[last].drained = w.Now()
+	w.After(lookupAge, func() { w.avoid = last })
+}
+
+type figures struct {
+	p50, p99, drain             time.Duration
+	headroom, worst, wrongful   float64
+	over, overloads, secondRuns int
+	late                        int
+}
+
+func (f figures) mustBeZero() int { return f.over + f.overloads + f.secondRuns + f.late }
+
+func (f figures) print(prefix string) {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	fmt.Printf("%s.p50_ms=%.1f\n%s.p99_ms=%.1f\n", prefix, ms(f.p50), prefix, ms(f.p99))
+	fmt.Printf("%s.headroom=%.3f\n%s.drain_ms=%.0f\n", prefix, f.headroom, prefix, ms(f.drain))
+	fmt.Printf("%s.worst_served=%.4f\n%s.wrongful_refusals=%.5f\n", prefix, f.worst, prefix, f.wrongful)
+	fmt.Printf("%s.over_admissions=%d\n%s.region_overloads=%d\n", prefix, f.over, prefix, f.overloads)
+	fmt.Printf("%s.second_runs=%d\n%s.late_new_work=%d\n", prefix, f.secondRuns, prefix, f.late)
+}
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed")
+	report := flag.String("report", "", "file.svg for a plot of the same run")
+	config := flag.String("config", "_fixtures/config", "directory of the configurations")
+	flag.Parse()
+	rows, broken, err := run(*seed, *config)
+	if err == nil && *report != "" {
+		err = os.WriteFile(*report, []byte(plot(rows)), 0o644)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+	if broken > 0 {
+		fmt.Fprintf(os.Stderr, "measure: %d breaches of rules that always hold\n", broken)
+		os.Exit(1)
+	}
+}
+
+// row is the outcome of one case with that of the baseline.
+type row struct {
+	name           string
+	ours, baseline figures
+}
+
+// run prints all figures and counts the breaches; the baseline's do not count.
+func run(seed uint64, dir string) (rows []row, broken int, err error) {
+	for _, d := range deployments {
+		content, err := os.ReadFile(filepath.Join(dir, d.name, "base.yaml"))
+		if err != nil {
+			return nil, 0, err
+		}
+		cfg, err := parser.Parse("base.yaml", content)
+		if err != nil {
+			return nil, 0, err
+		}
+		d.workspaces = cfg.GetWorkspaces()
+		var own []row
+		for _, c := range cases {
+			r := row{d.name + "." + c.name, newWorld(d, seed, false).run(c), newWorld(d, seed, true).run(c)}
+			r.ours.print(r.name)
+			r.baseline.print(r.name + ".baseline")
+			broken += r.ours.mustBeZero()
+			own = append(own, r)
+		}
+		for _, w := range weightings {
+			ours, base := w.mean(own)
+			fmt.Printf("%s.score_%s=%.4f\n%s.baseline.score_%s=%.4f\n", d.name, w.name, ours, d.name, w.name, base)
+		}
+		rows = append(rows, own...)
+	}
+	return rows, broken, nil
+}
--- a/pkg/simulator/traffic.go
+++ b/pkg/simulator/traffic.go
@@ -72,14 +72,20 @@
 	bucket string
 	within bool
 	ended  bool
+	done   func(admitted, within bool)
 }
 
 // Request sends one request of a workspace to a host.
-func (f *Fleet) Request(n int, bucket string) {
+func (f *Fleet) Request(n int, bucket string) { f.Ask(n, bucket, func(bool, bool) {}) }
+
+// Ask sends one request and tells whether it was admitted, and whether the
+// ideal bucket admits it.
+func (f *Fleet) Ask(n int, bucket string, done func(admitted, within bool)) {
 	h, a := f.hosts[n], f.audits[bucket]
 	within := a.within(f.now)
 	if !h.Up() {
 		f.refuse(a, within)
+		done(false, within)
 		return
 	}
 	d := h.limiter.Admit(bucket, h.now())
@@ -92,8 +98,9 @@
 	switch {
 	case d.OK:
 		f.admit(h, bucket)
+		done(true, within)
 	case d.Wait != nil && !f.cfg.Static:
-		r := &request{wait: d.Wait, bucket: bucket, within: within}
+		r := &request{wait: d.Wait, bucket: bucket, within: within, done: done}
 		h.waiting = append(h.waiting, r)
 		life := h.life
 		f.After(limiter.MaxWait.Duration(), func() { h.giveUp(r, life) })
@@ -102,6 +109,7 @@
 			d.Wait.Cancel(0)
 		}
 		f.refuse(a, within)
+		done(false, within)
 	}
 }
 
@@ -128,6 +136,7 @@
 	if !r.ended {
 		r.ended = true
 		h.f.refuse(h.f.audits[r.bucket], r.within)
+		r.done(false, r.within)
 	}
 }
 
@@ -142,6 +151,7 @@
 		case <-r.wait.Done():
 			r.ended = true
 			h.f.admit(h, r.bucket)
+			r.done(true, r.within)
 		default:
 			left = append(left, r)
 		}
