Refuse with no_share at hosts without a share and show the share in status

A host without a valid share lease or without slots answered 429 rate_limited, which tells callers that another host would refuse too. The limiter now says which case it is, forwarder.Config.Admit returns a limiter.Verdict in place of a boolean, and the forwarder answers 503 no_share, not_run, with a retry time of 100 ms. A wait for tokens that ends after the lease ended counts as no share.

GET /v1/status and catkindyke status show the asked host's slots, the rest of its lease in milliseconds (-1 is no end) and the ledger version that it read.

--- a/_scripts/measureupload/main.go
+++ b/_scripts/measureupload/main.go
@@ -20,6 +20,7 @@
 
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/forwarder"
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/snapshotter"
@@ -32,7 +33,7 @@
 	})
 	return forwarder.New(forwarder.Config{
 		Snapshot: func() *snapshotter.Snapshot { return snap },
-		Admit:    func(context.Context, string) (bool, clock.Millis) { return true, 0 },
+		Admit:    func(context.Context, string) (limiter.Verdict, clock.Millis) { return limiter.Admitted, 0 },
 		Acquire: func(context.Context, *snapshotter.Service, string, []string) (forwarder.Permit, error) {
 			return forwarder.Permit{BackendServer: "s", Address: address, Release: func(schema.PermitResult) {}}, nil
 		},
--- a/cmd/catkindyke/commander/status.go
+++ b/cmd/catkindyke/commander/status.go
@@ -90,7 +90,7 @@
 }
 
 func (st *fleetStatus) printHosts(w io.Writer) {
-	fmt.Fprintln(w, "HOST\tREGION\tAVAILABILITY ZONE\tSTATE\tCONFIG\tKEYS\tDRAINS\tPLAN\tNEWS AGE\tSHARE SLOTS\tLEASE LEFT\tSTORE READS/S\tWRITES/S")
+	fmt.Fprintln(w, "HOST\tREGION\tAVAILABILITY ZONE\tSTATE\tCONFIG\tKEYS\tDRAINS\tPLAN\tNEWS AGE\tSHARE SLOTS\tLEASE LEFT\tLEDGER\tSTORE READS/S\tWRITES/S")
 	for _, h := range st.Hosts {
 		one, ok := st.Fleet[h.Name]
 		state := "live"
@@ -103,9 +103,9 @@
 			state = "not ready"
 		}
 		v := h.Versions
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d ms\t%d\t%d ms\t%.1f\t%.1f\n", h.Name, h.Region, h.AvailabilityZone, state,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d ms\t%d\t%d ms\t%d\t%.1f\t%.1f\n", h.Name, h.Region, h.AvailabilityZone, state,
 			v[replicator.Config], v[replicator.Keys], v[replicator.Drains], v[replicator.Plan], h.AgeMs,
-			one.Metrics["share_slots"], one.Metrics["lease_left_ms"], one.Store.ReadsPerSecond, one.Store.WritesPerSecond)
+			one.Share.Slots, one.Share.LeaseLeftMs, one.Share.LedgerVersion, one.Store.ReadsPerSecond, one.Store.WritesPerSecond)
 	}
 }
 
--- a/pkg/controller/tokens.go
+++ b/pkg/controller/tokens.go
@@ -11,13 +11,18 @@
 
 // Admit takes a token of a bucket, or says when to try again. While tokens are
 // on their way from other hosts it waits for at most limiter.MaxWait.
-func (c *Controller) Admit(ctx context.Context, bucket string) (bool, clock.Millis) {
+func (c *Controller) Admit(ctx context.Context, bucket string) (limiter.Verdict, clock.Millis) {
 	d := c.limiter.Admit(bucket, c.cfg.Clock.Now())
 	for _, ask := range d.Asks {
 		go c.borrow(ask)
 	}
-	if d.Wait == nil {
-		return d.OK, d.RetryAfter
+	switch {
+	case d.OK:
+		return limiter.Admitted, 0
+	case d.NoShare:
+		return limiter.NoShare, d.RetryAfter
+	case d.Wait == nil:
+		return limiter.OverRate, d.RetryAfter
 	}
 	c.cfg.Meter.Add("token_waits", 1)
 	timer := time.NewTimer(limiter.MaxWait.Duration())
@@ -28,7 +33,15 @@
 	case <-ctx.Done():
 	case <-c.done:
 	}
-	return d.Wait.Cancel(c.cfg.Clock.Now()), d.RetryAfter
+	now := c.cfg.Clock.Now()
+	switch {
+	case d.Wait.Cancel(now):
+		return limiter.Admitted, 0
+	case !c.limiter.HasShare(now):
+		return limiter.NoShare, limiter.ShareRetry
+	default:
+		return limiter.OverRate, d.RetryAfter
+	}
 }
 
 // borrow asks a peer for tokens.
--- a/pkg/forwarder/answer_test.go
+++ b/pkg/forwarder/answer_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/schema"
 )
 
@@ -220,6 +221,29 @@
 	}
 }
 
+// TestRateVerdicts guards against a host without a share that tells callers
+// that the workspace is over its rate, so that they do not try another host.
+func TestRateVerdicts(t *testing.T) {
+	for _, tc := range []struct {
+		verdict limiter.Verdict
+		status  int
+		body    string
+	}{
+		{limiter.OverRate, 429, `{"error":"rate_limited","outcome":"not_run","retry_after_ms":250}`},
+		{limiter.NoShare, 503, `{"error":"no_share","outcome":"not_run","retry_after_ms":250}`},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fx := newFixture(t, okServe)
+			defer fx.close()
+			fx.verdict, fx.wait = tc.verdict, 250
+			got := fx.call(request("GET", "/svc/a", ""))
+			assertEqual(t, got.status, tc.status, "status")
+			assertEqual(t, strings.TrimSpace(got.body), tc.body, "body")
+			assertEqual(t, fx.dials, 0, "connections")
+		})
+	}
+}
+
 // TestWithdrawnWhileWaiting guards against a request that is sent although its
 // key was withdrawn, or its deadline passed, while it waited for a slot.
 func TestWithdrawnWhileWaiting(t *testing.T) {
--- a/pkg/forwarder/bench_test.go
+++ b/pkg/forwarder/bench_test.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/snapshotter"
@@ -49,7 +50,7 @@
 	})
 	return New(Config{
 		Snapshot: func() *snapshotter.Snapshot { return snap },
-		Admit:    func(context.Context, string) (bool, clock.Millis) { return true, 0 },
+		Admit:    func(context.Context, string) (limiter.Verdict, clock.Millis) { return limiter.Admitted, 0 },
 		Acquire: func(context.Context, *snapshotter.Service, string, []string) (Permit, error) {
 			return Permit{BackendServer: "s", Address: address, Release: func(schema.PermitResult) {}}, nil
 		},
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"catkindyke/pkg/claimer"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/snapshotter"
@@ -66,9 +67,9 @@
 type Config struct {
 	// Snapshot returns the view of control state in force.
 	Snapshot func() *snapshotter.Snapshot
-	// Admit takes a token of a workspace, or says when to try again. It may wait
-	// for a short time while tokens are borrowed from another host.
-	Admit func(ctx context.Context, workspace string) (bool, clock.Millis)
+	// Admit takes a token of a workspace, or says why not and when to try again.
+	// It may wait for a short time while tokens are borrowed from another host.
+	Admit func(ctx context.Context, workspace string) (limiter.Verdict, clock.Millis)
 	// Acquire waits for a slot until the context ends. Its errors are AcquireErrors.
 	Acquire func(ctx context.Context, svc *snapshotter.Service, workspace string, exclude []string) (Permit, error)
 	// Clock tells the time.
@@ -248,9 +249,13 @@
 // admit charges the workspace's rate.
 func (f *Forwarder) admit(x *exchange) *Refusal {
 	if x.workspace != "" {
-		ok, wait := f.cfg.Admit(x.r.Context(), x.workspace)
-		f.countAdmission(x.workspace, ok)
-		if !ok {
+		verdict, wait := f.cfg.Admit(x.r.Context(), x.workspace)
+		f.countAdmission(x.workspace, verdict)
+		switch verdict {
+		case limiter.Admitted:
+		case limiter.NoShare:
+			return &Refusal{http.StatusServiceUnavailable, "no_share", NotRun, max(wait, 1)}
+		default:
 			return &Refusal{http.StatusTooManyRequests, "rate_limited", NotRun, max(wait, 1)}
 		}
 	}
@@ -264,10 +269,11 @@
 	OverLimitMetric = "over_limit_"
 )
 
-func (f *Forwarder) countAdmission(workspace string, ok bool) {
-	if ok {
+func (f *Forwarder) countAdmission(workspace string, verdict limiter.Verdict) {
+	switch verdict {
+	case limiter.Admitted:
 		f.cfg.Meter.Add(AdmittedMetric+workspace, 1)
-		return
+	case limiter.OverRate:
+		f.cfg.Meter.Add(OverLimitMetric+workspace, 1)
 	}
-	f.cfg.Meter.Add(OverLimitMetric+workspace, 1)
 }
--- a/pkg/forwarder/harness_test.go
+++ b/pkg/forwarder/harness_test.go
@@ -23,6 +23,7 @@
 	"catkindyke/pkg/claimer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/snapshotter"
@@ -127,6 +128,9 @@
 	excludes   [][]string
 	open       int
 	keys       *schema.Keys
+	// verdict and wait are what Admit returns.
+	verdict limiter.Verdict
+	wait    clock.Millis
 	// duringAcquire runs while a request waits for a slot.
 	duringAcquire func(context.Context) error
 }
@@ -161,13 +165,14 @@
 		t: t, serve: serve, meter: meter.New(), platform: emulator.NewPlatform(emulator.Budget{}),
 		svc:      &schema.Service{Name: "svc", DeadlineMs: 5000, OpenRoutes: []string{"/svc/open"}},
 		keys:     &schema.Keys{Keys: []*schema.Key{{Sha256: authenticator.Hash(testKey), Workspace: "ws"}}},
+		verdict:  limiter.Admitted,
 		listener: &memListener{conns: make(chan net.Conn), closed: make(chan struct{})},
 	}
 	fx.transport = newTransport(64, fx.dial)
 	store := storeclient.New(storeclient.Config{BaseURL: "http://store", Transport: handlerTransport{fx.platform}})
 	fx.f = New(Config{
 		Snapshot: fx.snapshot,
-		Admit:    func(context.Context, string) (bool, clock.Millis) { return true, 0 },
+		Admit:    func(context.Context, string) (limiter.Verdict, clock.Millis) { return fx.verdict, fx.wait },
 		Acquire:  fx.acquire, Clock: clock.New(), Log: zerolog.New(&fx.log), Meter: fx.meter,
 		Tracer: noop.NewTracerProvider().Tracer("test"), Transport: fx.transport,
 		Claims: claimer.New(claimer.Config{Store: store}),
--- a/pkg/limiter/lending_test.go
+++ b/pkg/limiter/lending_test.go
@@ -363,3 +363,23 @@
 		t.Error("the request got no token although seven peers have 0.495 tokens each")
 	}
 }
+
+// TestNoShare guards against a host without a lease or without slots that
+// reports a workspace over its rate.
+func TestNoShare(t *testing.T) {
+	l := New(Config{})
+	l.SetLimits(map[string]Limit{"w": {RatePerSecond: 50, Burst: 100}}, 0)
+	check := func(step string, now clock.Millis, want bool) {
+		t.Helper()
+		d := l.Admit("w", now)
+		if d.NoShare != want || l.HasShare(now) == want || want && (d.OK || d.RetryAfter != ShareRetry) {
+			t.Errorf("%s: %+v, want NoShare %t", step, d, want)
+		}
+	}
+	check("no lease", 0, true)
+	l.SetShare(60, 1000, 0)
+	check("empty bucket", 1, false)
+	check("lease ended", 1000, true)
+	l.SetShare(0, 1<<40, 2000)
+	check("no slots", 2000, true)
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -123,10 +123,26 @@
 	l.peers = peers
 }
 
+// Verdict says whether a request may go on and, if not, why.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// OverRate says that there is no token.
+	OverRate Verdict = iota
+	// Admitted says that a token was taken.
+	Admitted
+	// NoShare says that the host has no valid share lease or no share slots, so
+	// that another host may admit the request at once.
+	NoShare
+)
+
 // Decision is the answer to a request for a token.
 type Decision struct {
 	// OK says that a token was taken.
 	OK bool
+	// NoShare is set when the host cannot admit any request.
+	NoShare bool
 	// RetryAfter is the time after which to try again when OK is false.
 	RetryAfter clock.Millis
 	// Wait is set when tokens are on their way.
@@ -135,6 +151,10 @@
 	Asks []Ask
 }
 
+// ShareRetry is the retry time of a host without a share. It is short, because
+// another host can admit the request now.
+const ShareRetry = 100 * clock.Millis(1)
+
 // Admit takes one token. When there is none it says when to try again, or
 // returns a Waiter while tokens are on their way. Nothing is admitted after
 // the share lease has ended.
@@ -142,7 +162,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[name]
-	if b == nil || !l.valid(now) {
+	if !l.valid(now) {
+		return Decision{NoShare: true, RetryAfter: ShareRetry}
+	}
+	if b == nil {
 		return Decision{RetryAfter: clock.Second}
 	}
 	l.fill(b, now)
@@ -164,6 +187,13 @@
 	return d
 }
 
+// HasShare reports whether the host may use share slots.
+func (l *Limiter) HasShare(now clock.Millis) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.valid(now)
+}
+
 // Tokens returns the tokens that the host holds of a bucket.
 func (l *Limiter) Tokens(name string, now clock.Millis) float64 {
 	l.mu.Lock()
--- a/pkg/runner/regions.go
+++ b/pkg/runner/regions.go
@@ -7,6 +7,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/controller"
 	"catkindyke/pkg/forwarder"
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/router"
 	"catkindyke/pkg/snapshotter"
 )
@@ -46,8 +47,8 @@
 	if region == home {
 		return nil
 	}
-	ok, wait := h.controller.Admit(ctx, router.BucketName(service, home, region))
-	if !ok {
+	verdict, wait := h.controller.Admit(ctx, router.BucketName(service, home, region))
+	if verdict != limiter.Admitted {
 		h.meter.Add("shift_cap_reached", 1)
 		return &forwarder.AcquireError{Reason: reasonShiftCap, RetryAfter: max(wait, clock.Millis(1))}
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -16,6 +16,7 @@
 	"catkindyke/pkg/controller"
 	"catkindyke/pkg/dialer"
 	"catkindyke/pkg/forwarder"
+	"catkindyke/pkg/leaser"
 	"catkindyke/pkg/logger"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/schema"
@@ -133,6 +134,7 @@
 	})
 	api := apiserver.Config{
 		Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder, Clock: clk, StoreCalls: h.storeCalls, Tokens: h.tokens,
+		Share: h.share,
 	}
 	h.caller = newServer(apiserver.Caller(api))
 	h.operator = newServer(apiserver.Operator(api))
@@ -193,6 +195,19 @@
 // Snapshot returns the host's view of control state.
 func (h *Host) Snapshot() *snapshotter.Snapshot { return h.controller.Snapshot() }
 
+// share returns what the status page shows of the host's share.
+func (h *Host) share() apiserver.StatusShare {
+	l, now := h.controller.Lease(), h.clock.Now()
+	switch {
+	case l.Deadline >= leaser.Forever:
+		return apiserver.StatusShare{Slots: l.Slots, LeaseLeftMs: -1, LedgerVersion: l.LedgerVersion}
+	case now >= l.Deadline:
+		return apiserver.StatusShare{LedgerVersion: l.LedgerVersion}
+	default:
+		return apiserver.StatusShare{Slots: l.Slots, LeaseLeftMs: int64(l.Deadline - now), LedgerVersion: l.LedgerVersion}
+	}
+}
+
 // Lease returns the host's part of the fleet-wide rates.
 func (h *Host) Lease() controller.Lease { return h.controller.Lease() }
 
--- a/pkg/runner/shares_test.go
+++ b/pkg/runner/shares_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/leaser"
 	"catkindyke/pkg/limiter"
+	"catkindyke/service/apiserver"
 )
 
 // slots returns the share slots that all running hosts hold.
@@ -58,3 +63,32 @@
 		fl.waitFor("slots reclaimed", 40*time.Second, fl.allSlotsHeld)
 	})
 }
+
+// TestStatusShowsShare guards against a status page that hides a host without
+// a share, and against a 429 answer of such a host.
+func TestStatusShowsShare(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		fl.waitFor("all slots held", 20*time.Second, fl.allSlotsHeld)
+		h := fl.hosts["host-3"]
+		share := func() apiserver.StatusShare {
+			rec := httptest.NewRecorder()
+			h.operator.Handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/v1/status", nil))
+			var st apiserver.Status
+			assertNoError(t, json.Unmarshal(rec.Body.Bytes(), &st), "status")
+			return st.Share
+		}
+		got, lease := share(), h.Lease()
+		if got.Slots != lease.Slots || got.LedgerVersion != lease.LedgerVersion || got.Slots == 0 ||
+			got.LeaseLeftMs <= 0 || got.LeaseLeftMs > int64(leaser.LeaseTime) {
+			t.Errorf("status shows %+v, the host holds %+v", got, lease)
+		}
+		assertNoError(t, h.controller.HandOver(context.Background()), "hand over")
+		if got := share(); got.Slots != 0 {
+			t.Errorf("status shows %+v after the hand-over", got)
+		}
+		verdict, wait := h.controller.Admit(context.Background(), "any")
+		if verdict != limiter.NoShare || wait != limiter.ShareRetry {
+			t.Errorf("verdict %d, retry after %d ms, want no share", verdict, wait)
+		}
+	})
+}
--- a/service/apiserver/apiserver.go
+++ b/service/apiserver/apiserver.go
@@ -16,6 +16,8 @@
 	Snapshot func() *snapshotter.Snapshot
 	// Meter holds the host's counters.
 	Meter *meter.Meter
+	// Share returns the host's part of the fleet-wide rates.
+	Share func() StatusShare
 	// Forward serves callers' requests.
 	Forward http.Handler
 	// Clock tells the time on the host's clock.
@@ -48,6 +50,7 @@
 func (cfg Config) status(w http.ResponseWriter, _ *http.Request) {
 	now := cfg.Clock.Now()
 	st := convertStatus(cfg.Snapshot(), cfg.Meter, now)
+	st.Share = cfg.Share()
 	st.Store.Reads, st.Store.Writes = cfg.StoreCalls()
 	if seconds := float64(now) / float64(clock.Second); seconds > 0 {
 		st.Store.ReadsPerSecond = float64(st.Store.Reads) / seconds
--- a/service/apiserver/types.go
+++ b/service/apiserver/types.go
@@ -30,7 +30,9 @@
 	Pools []StatusPool `json:"pools"`
 	// Workspaces counts what the asked host admitted and refused since it started.
 	Workspaces []StatusWorkspace `json:"workspaces"`
-	Metrics    map[string]int64  `json:"metrics"`
+	// Share is what the asked host holds.
+	Share   StatusShare      `json:"share"`
+	Metrics map[string]int64 `json:"metrics"`
 }
 
 // StatusStore is the asked host's use of the platform's object API since it started.
@@ -42,6 +44,16 @@
 	WritesPerSecond float64 `json:"writes_per_second"`
 }
 
+// StatusShare is the part of the fleet-wide rates that the asked host holds.
+type StatusShare struct {
+	// Slots is the number of share slots that the host may use, of 120.
+	Slots int `json:"slots"`
+	// LeaseLeftMs is the rest of the share lease; -1 means that it has no end.
+	LeaseLeftMs int64 `json:"lease_left_ms"`
+	// LedgerVersion is the version of the share ledger that the host has read.
+	LedgerVersion uint64 `json:"ledger_version"`
+}
+
 // StatusHost is one live host of a Status.
 type StatusHost struct {
 	Name             string `json:"name"`
