Check the least burst with the limiter's capacity; rename the simulator

The check accepted a burst of 12 although a host with 10 slots then holds less than one token: the limiter leaves out 2 ms of the rate. At 90/s a host with 10 slots admitted nothing below a burst of 12.18. Both packages now use limiter.LeastBurst, and a test shows for 10 to 120 slots that a host admits with this burst and not with 0.002 less. The checker test's fixture had the burst that is now refused.

pkg/simulator is pkg/exerciser: it exercises the leaser and the limiter with fault schedules and simulates nothing else.

--- a/_scripts/ratebench/main.go
+++ b/_scripts/ratebench/main.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"catkindyke/pkg/exerciser"
 	"catkindyke/pkg/limiter"
-	"catkindyke/pkg/simulator"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // bench is one run of one scenario.
 type bench struct {
-	*simulator.Fleet
+	*exerciser.Fleet
 	load float64
 	// rng draws arrivals apart from the fleet's delays, so that runs of one seed
 	// have the same arrivals whatever the hosts send to each other.
@@ -167,7 +167,7 @@
 
 // cell is the outcome of one run.
 type cell struct {
-	simulator.Result
+	exerciser.Result
 	writes     int
 	borrows    int
 	violations int
@@ -175,7 +175,7 @@
 }
 
 func run(sc scenario, load float64, static bool, seed uint64) cell {
-	b := &bench{load: load, rng: rand.New(rand.NewPCG(seed, 3)), leaving: make(map[int]bool), named: make(map[int]bool), Fleet: simulator.New(simulator.Config{
+	b := &bench{load: load, rng: rand.New(rand.NewPCG(seed, 3)), leaving: make(map[int]bool), named: make(map[int]bool), Fleet: exerciser.New(exerciser.Config{
 		Seed: seed, Hosts: hosts, Regions: regions, Limits: workspaces, Drift: 0.0001, Static: static,
 	})}
 	b.host = b.anyHost
--- a/pkg/checker/capacity.go
+++ b/pkg/checker/capacity.go
@@ -5,19 +5,13 @@
 	"math"
 	"strconv"
 
+	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/parser"
 	"catkindyke/pkg/schema"
 )
 
-const (
-	// shareSlots is the number of share slots of the whole fleet.
-	shareSlots = 120
-	// maxHosts is the largest number of hosts that each hold a whole token.
-	maxHosts = 12
-	// minBurst lets a host that holds 120/12 share slots hold one whole token:
-	// burst*floor(120/12)/120 >= 1. With less, such a host admits nothing.
-	minBurst = float64(shareSlots) / (shareSlots / maxHosts)
-)
+// maxHosts is the largest number of hosts that each hold a whole token.
+const maxHosts = 12
 
 func (c *checker) workspaces() {
 	if len(c.cfg.GetWorkspaces()) == 0 {
@@ -43,11 +37,12 @@
 }
 
 func (c *checker) workspace(path string, w *schema.Workspace, largest, all float64) {
-	if w.GetBurst() > 0 && w.GetBurst() < minBurst {
+	const slots = limiter.Slots / maxHosts
+	if least := limiter.LeastBurst(w.GetRatePerS(), slots); w.GetBurst() > 0 && w.GetBurst() < least {
 		c.add(Error, Burst, parser.Problem{
 			Path: path + ".burst", Value: figure(w.GetBurst()),
-			Text:    fmt.Sprintf("a host with %d of %d share slots could never hold a whole token", shareSlots/maxHosts, shareSlots),
-			Allowed: "at least " + figure(minBurst),
+			Text:    fmt.Sprintf("a host with %d of %d share slots could never hold a whole token", slots, limiter.Slots),
+			Allowed: "at least " + figure(least),
 		})
 	}
 	p := parser.Problem{Path: path + ".rate_per_s", Value: figure(w.GetRatePerS())}
--- a/pkg/checker/checker_test.go
+++ b/pkg/checker/checker_test.go
@@ -24,7 +24,7 @@
       - {name: d-1, address: "127.0.0.1:80", region: fyn, availability_zone: fyn-a}
       - {name: d-2, address: "127.0.0.2:80", region: jylland, availability_zone: jylland-a}
 workspaces:
-  - {name: lakes, rate_per_s: 90, burst: 12}
+  - {name: lakes, rate_per_s: 90, burst: 13}
 links:
   - {from: fyn, to: jylland, capacity_mbit_s: 4000, shift_cap_per_s: 90}
   - {from: jylland, to: fyn, capacity_mbit_s: 4000, shift_cap_per_s: 90}
@@ -78,7 +78,7 @@
 		{"route", "/dispatch/open", "/open", `error: b:8: services[dispatch].open_routes[/open]: got /open: the route matches no request of the service; allowed: paths under /dispatch [bad_route]`},
 		{"connections", "slots: 10\n", "slots: 10\n    connections: 9\n", `error: b:11: services[dispatch].backend_servers[d-1].slots: got 10: the service allows only 9 connections to each backend server; allowed: 1 to 9 [connections_under_slots]
 error: b:12: services[dispatch].backend_servers[d-2].slots: got 10: the service allows only 9 connections to each backend server; allowed: 1 to 9 [connections_under_slots]`},
-		{"burst", "burst: 12", "burst: 11.9", `error: b:13: workspaces[lakes].burst: got 11.9: a host with 10 of 120 share slots could never hold a whole token; allowed: at least 12 [burst_too_small]`},
+		{"burst", "burst: 13", "burst: 12.18", `error: b:13: workspaces[lakes].burst: got 12.18: a host with 10 of 120 share slots could never hold a whole token; allowed: at least 12.181 [burst_too_small]`},
 		{"rate_over_region", "rate_per_s: 90", "rate_per_s: 100.5", `warning: b:2: regions[fyn]: when region fyn fails, the others run 100 requests a second, the rates add up to 100.5 [no_failover_capacity]
 warning: b:3: regions[jylland]: when region jylland fails, the others run 100 requests a second, the rates add up to 100.5 [no_failover_capacity]
 warning: b:5: services[dispatch]: when region fyn fails, up to 100 requests a second must move, the shift caps of its links carry 90 [shift_cap_too_small]
--- a/pkg/simulator/simulator.go
+++ b/pkg/exerciser/exerciser.go
@@ -1,6 +1,6 @@
-// Package simulator runs the leasers and limiters of a fleet in virtual time
+// Package exerciser runs the leasers and limiters of a fleet in virtual time
 // with seeded faults. Tests and measurements use it; hosts do not.
-package simulator
+package exerciser
 
 import (
 	"container/heap"
--- a/pkg/simulator/mutation_test.go
+++ b/pkg/exerciser/mutation_test.go
@@ -1,4 +1,4 @@
-package simulator
+package exerciser
 
 import (
 	"strings"
--- a/pkg/simulator/norace_test.go
+++ b/pkg/exerciser/norace_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package simulator
+package exerciser
 
 // schedules is the number of seeded schedules, bounded to about 10 s of CI time; set it to thousands for a long run.
 const schedules = 240
--- a/pkg/simulator/race_test.go
+++ b/pkg/exerciser/race_test.go
@@ -1,7 +1,7 @@
 //go:build race
 
-package simulator
+package exerciser
 
 // schedules is smaller under the race detector, which is many times slower;
-// the simulator uses one goroutine.
+// the exerciser uses one goroutine.
 const schedules = 64
--- a/pkg/limiter/lending_test.go
+++ b/pkg/limiter/lending_test.go
@@ -383,3 +383,22 @@
 	l.SetShare(0, 1<<40, 2000)
 	check("no slots", 2000, true)
 }
+
+// TestLeastBurst guards against a burst that the configuration check accepts
+// and with which a host of few slots never admits a request.
+func TestLeastBurst(t *testing.T) {
+	for _, slots := range []int{10, 12, 15, 120} {
+		for rate := 1.0; rate < 1e6; rate *= 1.7 {
+			least := LeastBurst(rate, slots)
+			for _, burst := range []float64{least, least - 0.002} {
+				l := New(Config{})
+				l.SetLimits(map[string]Limit{"w": {RatePerSecond: rate, Burst: burst}}, 0)
+				l.SetShare(slots, 1<<40, 0)
+				l.Tokens("w", 1<<20)
+				if got, want := l.Admit("w", 1<<20).OK, burst == least; got != want {
+					t.Fatalf("rate %v, burst %v, %d slots: admitted %t, want %t", rate, burst, slots, got, want)
+				}
+			}
+		}
+	}
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -3,6 +3,7 @@
 package limiter
 
 import (
+	"math"
 	"sync"
 
 	"catkindyke/pkg/clock"
@@ -221,6 +222,14 @@
 	return max(0, b.limit.Burst-b.limit.RatePerSecond*clockStep) * l.part()
 }
 
+// LeastBurst returns the least burst with which a host of the given number of
+// slots can hold a whole token, rounded up to a thousandth. With less, the host
+// admits nothing.
+func LeastBurst(ratePerSecond float64, slots int) float64 {
+	// The small term covers rounding of the capacity.
+	return math.Ceil((Slots/float64(slots)+ratePerSecond*clockStep+1e-6)*1000) / 1000
+}
+
 // fill adds the tokens gained since the last call and then forgets loans that
 // have ended. Tokens are gained only while the lease lasts.
 func (l *Limiter) fill(b *bucket, now clock.Millis) {
