--- a/pkg/exerciser/mutation_test.go
+++ b/pkg/exerciser/mutation_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"catkindyke/pkg/leaser"
 	"catkindyke/pkg/limiter"
@@ -44,3 +45,28 @@
 		})
 	}
 }
+
+// TestSilentMembersStayRequired guards against a rule by which a host without
+// the store excludes members of its region that went silent: when it is the
+// host that is cut off, the others reach the store and reclaim its slots.
+func TestSilentMembersStayRequired(t *testing.T) {
+	for _, m := range []struct {
+		omit    leaser.Rule
+		checker string
+	}{{0, ""}, {leaser.RuleRequiredUntilRead, "usable by"}} {
+		f := New(Config{
+			Seed: 1, Hosts: 6, Regions: 2, OmitLease: m.omit,
+			Limits: map[string]limiter.Limit{"w": {RatePerSecond: 40, Burst: 40}},
+		})
+		f.Run(30 * time.Second)
+		f.CutHost = func(n int) bool { return n == 1 }
+		f.Run(time.Minute)
+		v := strings.Join(f.Violations, "\n")
+		if m.checker == "" && v != "" || !strings.Contains(v, m.checker) {
+			t.Errorf("rules omitted %d: violations %q, want %q", m.omit, v, m.checker)
+		}
+		if m.omit == 0 && (f.Host(1).Slots() != 0 || f.Usable() != limiter.Slots) {
+			t.Errorf("%d slots at the host that is cut off, %d usable in the fleet", f.Host(1).Slots(), f.Usable())
+		}
+	}
+}
