--- a/pkg/simulator/traffic.go
+++ b/pkg/exerciser/traffic.go
@@ -1,4 +1,4 @@
-package simulator
+package exerciser
 
 import (
 	"time"
@@ -161,6 +161,7 @@
 
 // borrow carries a request for tokens and its answer.
 func (h *Host) borrow(ask limiter.Ask) {
+	h.f.Borrows++
 	h.after(limiter.AnswerTimeout.Duration(), func() { h.limiter.Failed(ask, h.now()) })
 	var p *Host
 	for _, x := range h.f.hosts {
@@ -199,5 +200,5 @@
 	for _, a := range f.audits {
 		a.Result = Result{}
 	}
-	f.Writes = 0
+	f.Writes, f.Borrows = 0, 0
 }
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -3,6 +3,7 @@
 package limiter
 
 import (
+	"math"
 	"sync"
 
 	"catkindyke/pkg/clock"
@@ -28,12 +29,11 @@
 	// demand is the smoothed number of requests per second on this host.
 	demand   float64
 	demandAt clock.Millis
-	// borrowed is when this host last asked for tokens.
-	borrowed    clock.Millis
-	hasBorrowed bool
-	waiters     []*Waiter
-	loans       map[string]*loan
-	peers       map[string]*peer
+	waiters  []*Waiter
+	loans    map[string]*loan
+	// lent is the sum of the lent tokens that take up room.
+	lent  float64
+	peers map[string]*peer
 }
 
 // Limiter holds a host's part of every bucket.
@@ -124,10 +124,26 @@
 	l.peers = peers
 }
 
+// Verdict says whether a request may go on and, if not, why.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// OverRate says that there is no token.
+	OverRate Verdict = iota
+	// Admitted says that a token was taken.
+	Admitted
+	// NoShare says that the host has no valid share lease or no share slots, so
+	// that another host may admit the request at once.
+	NoShare
+)
+
 // Decision is the answer to a request for a token.
 type Decision struct {
 	// OK says that a token was taken.
 	OK bool
+	// NoShare is set when the host cannot admit any request.
+	NoShare bool
 	// RetryAfter is the time after which to try again when OK is false.
 	RetryAfter clock.Millis
 	// Wait is set when tokens are on their way.
@@ -136,6 +152,10 @@
 	Asks []Ask
 }
 
+// ShareRetry is the retry time of a host without a share. It is short, because
+// another host can admit the request now.
+const ShareRetry = 100 * clock.Millis(1)
+
 // Admit takes one token. When there is none it says when to try again, or
 // returns a Waiter while tokens are on their way. Nothing is admitted after
 // the share lease has ended.
@@ -143,7 +163,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[name]
-	if b == nil || !l.valid(now) {
+	if !l.valid(now) {
+		return Decision{NoShare: true, RetryAfter: ShareRetry}
+	}
+	if b == nil {
 		return Decision{RetryAfter: clock.Second}
 	}
 	l.fill(b, now)
@@ -165,6 +188,13 @@
 	return d
 }
 
+// HasShare reports whether the host may use share slots.
+func (l *Limiter) HasShare(now clock.Millis) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.valid(now)
+}
+
 // Tokens returns the tokens that the host holds of a bucket.
 func (l *Limiter) Tokens(name string, now clock.Millis) float64 {
 	l.mu.Lock()
@@ -192,6 +222,14 @@
 	return max(0, b.limit.Burst-b.limit.RatePerSecond*clockStep) * l.part()
 }
 
+// LeastBurst returns the least burst with which a host of the given number of
+// slots can hold a whole token, rounded up to a thousandth. With less, the host
+// admits nothing.
+func LeastBurst(ratePerSecond float64, slots int) float64 {
+	// The small term covers rounding of the capacity.
+	return math.Ceil((Slots/float64(slots)+ratePerSecond*clockStep+1e-6)*1000) / 1000
+}
+
 // fill adds the tokens gained since the last call and then forgets loans that
 // have ended. Tokens are gained only while the lease lasts.
 func (l *Limiter) fill(b *bucket, now clock.Millis) {
@@ -201,12 +239,15 @@
 	gained := b.limit.RatePerSecond * l.part() * float64(now-b.at) / 1000
 	b.tokens = max(0, min(b.tokens+gained, l.room(b)))
 	b.at = now
-	for host, loan := range b.loans {
+	if b.lent == 0 {
+		return
+	}
+	for _, loan := range b.loans {
 		if now >= loan.until {
 			loan.tokens = 0
-			b.loans[host] = loan
 		}
 	}
+	b.sumLoans()
 }
 
 // demandTime is the time over which demand is smoothed.
