--- a/_scripts/measure/world.go
+++ b/_scripts/measure/world.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"catkindyke/pkg/exerciser"
 	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/schema"
-	"catkindyke/pkg/simulator"
 )
 
 const (
@@ -37,7 +37,7 @@
 
 // world is one deployment in one case. The fleet's event queue drives it all.
 type world struct {
-	*simulator.Fleet
+	*exerciser.Fleet
 	services  []service
 	clients   time.Duration
 	workspace []*schema.Workspace
@@ -82,7 +82,7 @@
 		limits[ws.GetName()] = limiter.Limit{RatePerSecond: ws.GetRatePerS(), Burst: ws.GetBurst()}
 		w.weights[ws.GetName()], w.tallies[ws.GetName()] = ws.GetWeight(), &tally{}
 	}
-	w.Fleet = simulator.New(simulator.Config{Seed: seed, Hosts: hosts, Regions: regions, Limits: limits, Static: baseline})
+	w.Fleet = exerciser.New(exerciser.Config{Seed: seed, Hosts: hosts, Regions: regions, Limits: limits, Static: baseline})
 	for n := range regions {
 		r := newRegion(w, n)
 		w.regions = append(w.regions, r)
