Give share slots to every ledger member of a fleet that does not divide them

Members kept the equal share rounded up, so 15 of 16 hosts held all 120 slots and the last one never became ready. Moves now give away what is over the share rounded down while a live member has less.

--- a/pkg/leaser/plan.go
+++ b/pkg/leaser/plan.go
@@ -244,15 +244,17 @@
 	}
 }
 
-// move gives what is over the equal share to live members that have less. The
-// slots are debited first and written after Quiesce.
+// move gives what is over the equal share, rounded down, to live members that
+// have less. Rounded up, the holders of a fleet whose size does not divide the
+// slots would keep them all: 15 of 16 members with 8 each, and one with none.
+// The slots are debited first and written after Quiesce.
 func (l *Leaser) move(d *draft, in Input, now clock.Millis) {
 	me := l.index(l.self())
 	if me == 0 || len(d.reclaimed) > 0 {
 		return
 	}
 	n := len(d.Members)
-	surplus := d.counts()[d.index(l.self())] - (Slots+n-1)/n
+	surplus := d.counts()[d.index(l.self())] - Slots/n
 	slots := sortedDebited(l.debited)
 	if len(slots) == 0 {
 		if give := min(surplus, d.deficit(in, l.self())); give > 0 {
--- a/pkg/runner/shares_test.go
+++ b/pkg/runner/shares_test.go
@@ -58,3 +58,19 @@
 		fl.waitFor("slots reclaimed", 40*time.Second, fl.allSlotsHeld)
 	})
 }
+
+// TestEveryHostHoldsSlots guards against hosts that never get a share slot and
+// so never become ready, in fleets whose size does not divide the slots.
+func TestEveryHostHoldsSlots(t *testing.T) {
+	withFleet(t, 16, func(fl *fleet) {
+		fl.waitFor("all slots held", 30*time.Second, fl.allSlotsHeld)
+		fl.waitFor("all hosts hold slots", 30*time.Second, func() bool {
+			for _, h := range fl.hosts {
+				if h.Lease().Slots == 0 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
