Measure capacity in repeated windows and through failures

The hosts now run slot reports and health polls. New rows measure a rack restart, a store outage, a region cut off and a lost availability zone.

--- /dev/null
+++ b/_scripts/capacity/events.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/runner"
+)
+
+// shareSlots is the number of share slots of the whole fleet.
+const shareSlots = 120
+
+// cutTransport fails the store calls of a host while its region is cut off.
+type cutTransport struct {
+	http.RoundTripper
+	f    *fleet
+	host string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if cut := t.f.cut.Load(); cut != nil && t.f.regions[t.host] == *cut {
+		return nil, errors.New("region cut off")
+	}
+	return t.RoundTripper.RoundTrip(r)
+}
+
+// apart reports whether two hosts cannot reach each other.
+func (f *fleet) apart(a, b string) bool {
+	cut := f.cut.Load()
+	return cut != nil && (f.regions[a] == *cut) != (f.regions[b] == *cut)
+}
+
+// counters are totals over all hosts that ever ran.
+type counters struct{ bytes, messages, reads, writes float64 }
+
+func (f *fleet) counters() counters {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := counters{bytes: float64(f.sent.Load()), messages: float64(f.messages.Load())}
+	for _, h := range f.started {
+		c.reads += float64(h.Store().Reads())
+		c.writes += float64(h.Store().Writes())
+	}
+	return c
+}
+
+// observe makes an event, waits until done and at least for the given time, and
+// prints what the whole fleet sent from before the event on and its highest second.
+func (f *fleet) observe(name string, least time.Duration, event func() error, done func() bool) error {
+	const step, limit = 100 * time.Millisecond, 40 * time.Second
+	start, cpu := time.Now(), cpuTime()
+	samples := []counters{f.counters()}
+	if err := event(); err != nil {
+		return err
+	}
+	var reached time.Duration
+	for time.Since(start) < limit && (reached == 0 || time.Since(start) < least) {
+		time.Sleep(step)
+		samples = append(samples, f.counters())
+		if reached == 0 && done() {
+			reached = time.Since(start)
+		}
+	}
+	took := time.Since(start).Seconds()
+	was, now := samples[0], samples[len(samples)-1]
+	var peak counters
+	for i := range samples {
+		s, e := samples[max(0, i-10)], samples[i]
+		peak.messages = max(peak.messages, e.messages-s.messages)
+		peak.reads = max(peak.reads, e.reads-s.reads)
+		peak.writes = max(peak.writes, e.writes-s.writes)
+	}
+	state := fmt.Sprintf("%6.1f", reached.Seconds())
+	if reached == 0 {
+		state = "  none"
+	}
+	fmt.Printf("%-42s %s %6.1f %10.0f %10.0f %7.1f %7.0f %7.1f %7.0f %6.1f\n", name, state, took,
+		(now.messages-was.messages)/took, (now.bytes-was.bytes)/took, (now.reads-was.reads)/took, peak.reads,
+		(now.writes-was.writes)/took, peak.writes, (cpuTime()-cpu).Seconds()/took*100)
+	return nil
+}
+
+const eventHeader = "                                           done_s took_s messages/s     sent_B/s reads/s  peak_r writes/s peak_w  cpu_%"
+
+// sees reports whether every given host is ready and lists n hosts.
+func sees(hosts []*runner.Host, n int) bool {
+	for _, h := range hosts {
+		if !h.Snapshot().Ready() || len(h.Snapshot().Hosts()) != n {
+			return false
+		}
+	}
+	return true
+}
+
+// shares returns the share slots that the given hosts may use.
+func shares(hosts []*runner.Host) int {
+	n := 0
+	for _, h := range hosts {
+		n += int(h.Meter().Get("share_slots"))
+	}
+	return n
+}
+
+func (f *fleet) kill(n int) {
+	f.mu.Lock()
+	delete(f.names, f.hosts[n].PeerAddress())
+	f.mu.Unlock()
+	f.hosts[n].Kill()
+}
+
+// measureEvents prints what single events cost a fleet of the given size. A row
+// is the whole fleet; "done" is when the state named in the row was reached.
+func measureEvents(ctx context.Context, size int) error {
+	fmt.Printf("\nevents, %d hosts, whole fleet\n%s\n", size, eventHeader)
+	f, err := startFleet(ctx, setup{hosts: size, workspaces: 8})
+	defer f.close()
+	if err != nil {
+		return err
+	}
+	all := func() bool { return sees(f.hosts, size) && shares(f.hosts) == shareSlots }
+	always := func() bool { return true }
+	region, _ := places(size - 1)
+	_, lost := places(0)
+	var rest []*runner.Host
+	for _, e := range []struct {
+		name  string
+		least time.Duration
+		event func()
+		done  func() bool
+	}{
+		{"calm", 10 * time.Second, func() {}, always},
+		{"20 hosts restarted: all slots in use", 10 * time.Second, func() { err = f.restart(20) }, all},
+		{"store away", 12 * time.Second, func() { f.platform.SetFaults(emulator.Faults{Down: true}) }, always},
+		{"store back: all slots in use", 10 * time.Second, func() { f.platform.SetFaults(emulator.Faults{}) }, all},
+		{"region cut off", 12 * time.Second, func() { f.cut.Store(&region) }, always},
+		{"region back: all hosts seen, slots in use", 10 * time.Second, func() { f.cut.Store(nil) }, all},
+		{"zone lost: no longer seen", 0, func() { rest = f.loseZone(lost) }, func() bool { return sees(rest, len(rest)) }},
+		{"zone lost: its slots reclaimed, after that", 0, func() {}, func() bool { return shares(rest) == shareSlots }},
+	} {
+		if observed := f.observe(e.name, e.least, func() error { e.event(); return err }, e.done); observed != nil {
+			return observed
+		}
+	}
+	return nil
+}
+
+// restart ends the first n hosts and starts them again under their names.
+func (f *fleet) restart(n int) error {
+	for i := range n {
+		f.kill(i)
+	}
+	for i := range n {
+		if err := f.start(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loseZone ends the hosts of a zone and returns the others.
+func (f *fleet) loseZone(lost string) []*runner.Host {
+	var rest []*runner.Host
+	for n, h := range f.hosts {
+		if _, zone := places(n); zone == lost {
+			f.kill(n)
+		} else {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
--- a/_scripts/capacity/fit.go
+++ b/_scripts/capacity/fit.go
@@ -1,43 +1,84 @@
 package main
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
-// line is a straight line fitted by least squares, with the error of its prediction.
+// line is a straight line through points. The slope is the median of the slopes
+// between all pairs, so that one point measured on a busy machine does not move
+// it; the errors come from the residuals' median, which that point does not move
+// either, and from the error of the points themselves.
 type line struct {
 	slope, slopeErr, intercept float64
 	mean, spread, residual     float64
 	n                          int
 }
 
-func fit(points []point, y func(point) float64) line {
+func fit(points []point, m measure) line {
 	l := line{n: len(points)}
-	var meanY float64
-	for _, p := range points {
+	var slopes, rest, residuals []float64
+	var pointErr float64
+	for i, p := range points {
 		l.mean += p.x / float64(l.n)
-		meanY += y(p) / float64(l.n)
+		pointErr = max(pointErr, median(errorsOf(points, m)))
+		for _, q := range points[:i] {
+			slopes = append(slopes, (m.y(p)-m.y(q))/(p.x-q.x))
+		}
 	}
-	var xy float64
+	l.slope = median(slopes)
 	for _, p := range points {
 		l.spread += (p.x - l.mean) * (p.x - l.mean)
-		xy += (p.x - l.mean) * (y(p) - meanY)
+		rest = append(rest, m.y(p)-l.slope*p.x)
 	}
-	l.slope = xy / l.spread
-	l.intercept = meanY - l.slope*l.mean
-	var sum float64
+	l.intercept = median(rest)
 	for _, p := range points {
-		d := y(p) - l.at(p.x)
-		sum += d * d
+		residuals = append(residuals, math.Abs(m.y(p)-l.at(p.x)))
 	}
-	if l.n > 2 {
-		l.residual = math.Sqrt(sum / float64(l.n-2))
+	// The median of the residuals is divided by that of a normal distribution.
+	l.residual = max(median(residuals)/0.6745, pointErr)
+	if l.spread > 0 {
+		l.slopeErr = l.residual / math.Sqrt(l.spread)
 	}
-	l.slopeErr = l.residual / math.Sqrt(l.spread)
 	return l
 }
 
+func errorsOf(points []point, m measure) []float64 {
+	var out []float64
+	for _, p := range points {
+		out = append(out, p.err[m.name])
+	}
+	return out
+}
+
 func (l line) at(x float64) float64 { return l.intercept + l.slope*x }
 
 // err returns the standard error of the line at x.
 func (l line) err(x float64) float64 {
+	if l.spread == 0 {
+		return 0
+	}
 	return l.residual * math.Sqrt(1/float64(l.n)+(x-l.mean)*(x-l.mean)/l.spread)
 }
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	v := slices.Sorted(slices.Values(values))
+	return (v[(len(v)-1)/2] + v[len(v)/2]) / 2
+}
+
+// medianErr returns the standard error of the median of the values.
+func medianErr(values []float64) float64 {
+	if len(values) < 2 {
+		return 0
+	}
+	m := median(values)
+	var sum float64
+	for _, v := range values {
+		sum += (v - m) * (v - m)
+	}
+	n := float64(len(values))
+	return 1.2533 * math.Sqrt(sum/(n-1)/n)
+}
--- a/_scripts/capacity/fleet.go
+++ b/_scripts/capacity/fleet.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +34,9 @@
 	"catkindyke/pkg/storeclient"
 )
 
+// windows is the number of times that each point is measured.
+const windows = 5
+
 // setup is one point of a sweep.
 type setup struct{ hosts, workspaces, blocks, changes int }
 
@@ -41,20 +46,27 @@
 	bytes, messages, reads, writes           float64
 	cpuPercent, heapMB, loadSeconds, loadedB float64
 	inForceMs, lookupUs                      float64
+	// err has the standard errors by the names of the measures.
+	err map[string]float64
 }
 
-const header = "        x  sent_B/s  messages/s  store_reads/s  store_writes/s  cpu_%  heap_MB  blocks_load_s  blocks_sent_B  in_force_ms  lookup_cpu_us"
+const header = "        x  sent_B/s  messages/s  store_reads/s  store_writes/s  cpu_%  heap_MB  blocks_load_s  blocks_sent_B  in_force_ms  lookup_cpu_us  ±sent  ±messages  ±cpu"
 
 func (p point) String() string {
-	return fmt.Sprintf("%9.0f  %8.0f  %10.1f  %13.2f  %14.2f  %5.2f  %7.2f  %13.2f  %13.0f  %11.0f  %13.2f", p.x, p.bytes,
-		p.messages, p.reads, p.writes, p.cpuPercent, p.heapMB, p.loadSeconds, p.loadedB, p.inForceMs, p.lookupUs)
+	return fmt.Sprintf("%9.0f  %8.0f  %10.1f  %13.2f  %14.2f  %5.2f  %7.2f  %13.2f  %13.0f  %11.0f  %13.2f  %5.0f  %9.2f  %4.2f", p.x, p.bytes,
+		p.messages, p.reads, p.writes, p.cpuPercent, p.heapMB, p.loadSeconds, p.loadedB, p.inForceMs, p.lookupUs,
+		p.err["sent between hosts"], p.err["messages"], p.err["cpu"])
 }
 
 // fleet runs hosts whose calls to each other are real drpc over pipes in memory.
 type fleet struct {
 	hosts    []*runner.Host
+	started  []*runner.Host
 	names    map[string]*runner.Host
+	regions  map[string]string
+	platform *emulator.Platform
 	store    *httptest.Server
+	cut      atomic.Pointer[string]
 	pub      *publisher.Publisher
 	sent     atomic.Int64
 	messages atomic.Int64
@@ -72,42 +84,90 @@
 
 func startFleet(ctx context.Context, s setup) (*fleet, error) {
 	platform := emulator.NewPlatform(emulator.Budget{})
-	f := &fleet{names: make(map[string]*runner.Host), conns: make(map[[2]string]drpc.Conn), store: httptest.NewServer(platform)}
+	f := &fleet{
+		names: make(map[string]*runner.Host), conns: make(map[[2]string]drpc.Conn), regions: make(map[string]string),
+		platform: platform, store: httptest.NewServer(platform), hosts: make([]*runner.Host, 0, s.hosts),
+	}
 	f.closing, f.stop = context.WithCancel(ctx)
 	f.pub = publisher.New(storeclient.New(storeclient.Config{BaseURL: f.store.URL}))
 	if err := f.writeConfig(ctx, s); err != nil {
 		return f, err
 	}
 	for n := range s.hosts {
-		name := fmt.Sprintf("host-%d", n)
-		region, zone := places(n)
-		h, err := runner.Start(runner.Config{
-			Name: name, Region: region, AvailabilityZone: zone, StoreURL: f.store.URL, Log: logger.Discard(),
-			CallerAddress: name + ":1", PeerAddress: name + ":2", BackendTransport: http.DefaultTransport,
-			Dial: func(_ context.Context, address string) schema.DRPCPeerClient {
-				return schema.NewDRPCPeerClient(&link{f, name, address})
-			},
-		})
-		if err != nil {
+		name := hostName(n)
+		f.regions[name], _ = places(n)
+		f.regions[name+":2"] = f.regions[name]
+	}
+	for n := range s.hosts {
+		if err := f.start(n); err != nil {
 			return f, err
 		}
-		f.mu.Lock()
-		f.hosts, f.names[name+":2"] = append(f.hosts, h), h
-		f.mu.Unlock()
-		platform.SetHost(storeclient.Host{
-			Name: name, State: storeclient.HostLive, Region: region, AvailabilityZone: zone, Address: name + ":1", PeerAddress: name + ":2",
-		})
 	}
 	return f, f.wait(ctx, time.Minute, func(h *runner.Host) bool {
 		return h.Snapshot().Ready() && len(h.Snapshot().Hosts()) == s.hosts
 	})
 }
 
+func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
+
+// start starts host n; a second start is a new incarnation.
+func (f *fleet) start(n int) error {
+	name := hostName(n)
+	region, zone := places(n)
+	h, err := runner.Start(runner.Config{
+		Name: name, Region: region, AvailabilityZone: zone, StoreURL: f.store.URL, Log: logger.Discard(),
+		CallerAddress: name + ":1", PeerAddress: name + ":2", BackendTransport: healthy{},
+		StoreTransport: &cutTransport{http.DefaultTransport.(*http.Transport).Clone(), f, name},
+		Dial: func(_ context.Context, address string) schema.DRPCPeerClient {
+			return schema.NewDRPCPeerClient(&link{f, name, address})
+		},
+	})
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n < len(f.hosts) {
+		f.hosts[n] = h
+		for pair, c := range f.conns {
+			if pair[0] == name || pair[1] == name+":2" {
+				_ = c.Close()
+				delete(f.conns, pair)
+			}
+		}
+	} else {
+		f.hosts = append(f.hosts, h)
+	}
+	f.started, f.names[name+":2"] = append(f.started, h), h
+	f.platform.SetHost(storeclient.Host{
+		Name: name, State: storeclient.HostLive, Region: region, AvailabilityZone: zone, Address: name + ":1", PeerAddress: name + ":2",
+	})
+	return nil
+}
+
+// healthy answers every health poll.
+type healthy struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (healthy) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(`{"state":"live"}`)), Request: r}, nil
+}
+
 func (f *fleet) writeConfig(ctx context.Context, s setup) error {
 	cfg := &schema.Config{
 		Services: []*schema.Service{{Name: "dispatch", Slots: 3}, {Name: "survey", Slots: 3}},
 		Settings: &schema.Settings{LookupRatePerS: 1 << 30},
 	}
+	for _, svc := range cfg.Services {
+		svc.HealthPath = "/health"
+		for n := range 14 {
+			region, zone := places(n)
+			svc.BackendServers = append(svc.BackendServers, &schema.BackendServer{
+				Name: fmt.Sprintf("%s-%d", svc.GetName(), n), Address: fmt.Sprintf("127.0.0.1:%d", 10000+n),
+				Region: region, AvailabilityZone: zone,
+			})
+		}
+	}
 	keys := &schema.Keys{}
 	for n := range s.workspaces {
 		name := fmt.Sprintf("workspace-%d", n)
@@ -145,7 +205,7 @@
 		for !ok(h) {
 			select {
 			case <-ctx.Done():
-				return errTimeout
+				return fmt.Errorf("%w: %s", errTimeout, f.describe())
 			case <-time.After(5 * time.Millisecond):
 			}
 		}
@@ -153,6 +213,21 @@
 	return nil
 }
 
+// describe says how far the hosts have come.
+func (f *fleet) describe() string {
+	ready, seen, owned := 0, 0, 0
+	for _, h := range f.hosts {
+		if h.Snapshot().Ready() {
+			ready++
+		}
+		if len(h.Snapshot().Hosts()) == len(f.hosts) {
+			seen++
+		}
+		owned += int(h.Meter().Get("owned_servers"))
+	}
+	return fmt.Sprintf("%d of %d hosts ready, %d see all, %d share slots in use, %d servers owned", ready, len(f.hosts), seen, shares(f.hosts), owned)
+}
+
 func (f *fleet) close() {
 	f.stop()
 	for _, h := range f.hosts {
@@ -204,6 +279,9 @@
 		return err
 	}
 	l.f.messages.Add(1)
+	if l.f.apart(l.from, l.to) {
+		return errors.New("region cut off")
+	}
 	return c.Invoke(ctx, rpc, enc, in, out)
 }
 
@@ -261,22 +339,32 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
-	counts := func() [5]float64 {
-		var reads, writes int64
-		for _, h := range f.hosts {
-			reads += h.Store().Reads()
-			writes += h.Store().Writes()
-		}
-		return [5]float64{float64(f.sent.Load()), float64(f.messages.Load()), float64(reads), float64(writes), cpuTime().Seconds() * 100}
+	// The windows run beside the changes. Watches of the store end after 10 s, so
+	// store calls are counted over the whole time; the others are medians of windows.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	changed := make(chan error, 1)
+	was, start := f.counters(), time.Now()
+	go func() { changed <- f.change(ctx, s, measure, &p) }()
+	values := make(map[string][]float64)
+	for range windows {
+		before, cpu, at := f.counters(), cpuTime(), time.Now()
+		time.Sleep(measure / windows)
+		after, took := f.counters(), time.Since(at).Seconds()
+		values["sent between hosts"] = append(values["sent between hosts"], (after.bytes-before.bytes)/took/n)
+		values["messages"] = append(values["messages"], (after.messages-before.messages)/took/n)
+		values["cpu"] = append(values["cpu"], (cpuTime()-cpu).Seconds()*100/took/n)
 	}
-	was, start := counts(), time.Now()
-	if err := f.change(ctx, s, measure, &p); err != nil {
+	if err := <-changed; err != nil {
 		return p, err
 	}
-	now, took := counts(), time.Since(start).Seconds()
-	for i, out := range []*float64{&p.bytes, &p.messages, &p.reads, &p.writes, &p.cpuPercent} {
-		*out = (now[i] - was[i]) / took / n
+	now, took := f.counters(), time.Since(start).Seconds()
+	p.reads, p.writes = (now.reads-was.reads)/took/n, (now.writes-was.writes)/took/n
+	p.err = make(map[string]float64)
+	for name, v := range values {
+		p.err[name] = medianErr(v)
 	}
+	p.bytes, p.messages, p.cpuPercent = median(values["sent between hosts"]), median(values["messages"]), median(values["cpu"])
 	p.lookupUs = f.lookupCPU()
 	p.heapMB = (heap() - before) / n
 	return p, nil
