--- a/_scripts/capacity/fit.go
+++ b/_scripts/capacity/fit.go
@@ -7,8 +7,8 @@
 
 // line is a straight line through points. The slope is the median of the slopes
 // between all pairs, so that one point measured on a busy machine does not move
-// it; the errors come from the residuals' median, which that point does not move
-// either, and from the error of the points themselves.
+// it. Its error is at least the spread of these slopes, because residuals alone
+// leave out a noisy point and understate how far two runs differ.
 type line struct {
 	slope, slopeErr, intercept float64
 	mean, spread, residual     float64
@@ -40,6 +40,11 @@
 	if l.spread > 0 {
 		l.slopeErr = l.residual / math.Sqrt(l.spread)
 	}
+	for i, s := range slopes {
+		slopes[i] = math.Abs(s - l.slope)
+	}
+	// As above for a normal distribution.
+	l.slopeErr = max(l.slopeErr, median(slopes)/0.6745)
 	return l
 }
 
@@ -58,7 +63,7 @@
 	if l.spread == 0 {
 		return 0
 	}
-	return l.residual * math.Sqrt(1/float64(l.n)+(x-l.mean)*(x-l.mean)/l.spread)
+	return math.Hypot(l.residual/math.Sqrt(float64(l.n)), l.slopeErr*(x-l.mean))
 }
 
 func median(values []float64) float64 {
