Answer peers until a planned stop's requests end, and split connections

Shutdown now waits for handlers and pending releases, answers carry Connection: close from the start (the forwarder removed that header before), and share slots are handed over after the listener closed. Connections follow the configuration by a transport for each service. /debug/vars shows the asked host's counters and errors of HTTP servers are events.

--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -81,6 +81,8 @@
 	Tracer trace.Tracer
 	// Transport sends requests to backend servers; NewTransport makes one.
 	Transport http.RoundTripper
+	// Transports is used instead of Transport when set.
+	Transports *Transports
 	// Claims records idempotency keys; requests that need a claim are refused when it is nil.
 	Claims *claimer.Claimer
 }
@@ -106,6 +108,9 @@
 		fresh.DisableKeepAlives = true
 		f.fresh, f.opaque = fresh, false
 	}
+	if cfg.Transports != nil {
+		f.opaque = false
+	}
 	return f
 }
 
--- a/pkg/forwarder/header.go
+++ b/pkg/forwarder/header.go
@@ -103,7 +103,9 @@
 }
 
 // answerHeader writes a backend server's header to the caller's answer.
+// A Connection header that the host itself has set stays.
 func answerHeader(dst, src http.Header, server string) {
+	own := dst["Connection"]
 	for k, v := range src {
 		dst[k] = v
 	}
@@ -115,6 +117,9 @@
 	for _, name := range hopByHop {
 		delete(dst, name)
 	}
+	if own != nil {
+		dst["Connection"] = own
+	}
 	// Only catkindyke itself says these.
 	delete(dst, OutcomeHeader)
 	delete(dst, RecordedHeader)
--- a/pkg/forwarder/send.go
+++ b/pkg/forwarder/send.go
@@ -207,10 +207,13 @@
 		f.budget.Sent(x.snap.Config().GetSettings().GetRetryBudgetPercent())
 	}
 	out := a.outgoing(ctx)
-	transport := f.cfg.Transport
+	transport, fresh := f.cfg.Transport, f.fresh
+	if f.cfg.Transports != nil {
+		transport, fresh = f.cfg.Transports.of(x.snap, x.svc)
+	}
 	if !x.repeatable && !x.buffered {
 		// A body that cannot be sent again gets a connection that cannot be stale.
-		transport = f.fresh
+		transport = fresh
 	}
 	a.sentAt = f.cfg.Clock.Now()
 	x.life.To(StateSent)
@@ -218,7 +221,7 @@
 	if err != nil && a.flight.stale && a.flight.fail() == 0 && ctx.Err() == nil {
 		// The idle connection was too old to use, and nothing was written to it.
 		a.flight = &flight{once: true, cancel: a.cancel}
-		resp, err = f.fresh.RoundTrip(a.outgoing(ctx))
+		resp, err = fresh.RoundTrip(a.outgoing(ctx))
 	}
 	if err == nil && a.flight.foreign() {
 		_ = resp.Body.Close()
--- /dev/null
+++ b/pkg/forwarder/transports.go
@@ -0,0 +1,78 @@
+package forwarder
+
+import (
+	"net/http"
+	"sync"
+
+	"catkindyke/pkg/snapshotter"
+)
+
+// maxIdle bounds the idle connections that a host keeps to a backend server when the service allows more.
+const maxIdle = 16
+
+// Transports holds a transport for each service, so that the connections to a
+// backend server follow the configuration and the number of hosts.
+type Transports struct {
+	mu        sync.Mutex
+	byService map[string]serviceTransport
+}
+
+type serviceTransport struct {
+	most, idle int
+	// fresh opens a connection for each request.
+	pooled, fresh *http.Transport
+}
+
+// NewTransports returns an empty set.
+func NewTransports() *Transports {
+	return &Transports{byService: make(map[string]serviceTransport)}
+}
+
+// of returns the transports of a service. When the limit has changed, the
+// connections of the former transports are closed as their requests end.
+func (t *Transports) of(snap *snapshotter.Snapshot, svc *snapshotter.Service) (pooled, fresh *http.Transport) {
+	slots := 1
+	for _, b := range svc.Config().GetBackendServers() {
+		slots = max(slots, svc.Slots(b))
+	}
+	most, idle := connectionShare(int(svc.Config().GetConnections()), slots, len(snap.Hosts()))
+	name := svc.Config().GetName()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.byService[name]
+	if ok && st.most == most && st.idle == idle {
+		return st.pooled, st.fresh
+	}
+	if ok {
+		st.pooled.CloseIdleConnections()
+	}
+	st = serviceTransport{most: most, idle: idle, pooled: NewTransport(most)}
+	st.pooled.MaxIdleConnsPerHost = idle
+	st.fresh = st.pooled.Clone()
+	st.fresh.DisableKeepAlives = true
+	t.byService[name] = st
+	return st.pooled, st.fresh
+}
+
+// CloseIdleConnections closes the idle connections of all services.
+func (t *Transports) CloseIdleConnections() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, st := range t.byService {
+		st.pooled.CloseIdleConnections()
+	}
+}
+
+// connectionShare splits a server's connections. Those in use are bounded by
+// the permits, over all hosts; what is left is split evenly for idle ones, less
+// one connection of each host for health. A negative number keeps none.
+func connectionShare(connections, slots, hosts int) (most, idle int) {
+	idle = maxIdle
+	if connections > 0 {
+		idle = min(idle, (connections-min(slots, connections))/max(1, hosts)-1)
+	}
+	if idle <= 0 {
+		return slots, -1
+	}
+	return slots + idle, idle
+}
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"catkindyke/pkg/clock"
@@ -30,6 +32,9 @@
 // errNoOwner says that no owner in a region answered or has a server.
 var errNoOwner = errors.New("no owner answered")
 
+// errNotReady says that a region's owners have no votes and cannot grant yet.
+var errNotReady = fmt.Errorf("owner not ready: %w", errNoOwner)
+
 // ownerStats are the entry host's own observations of the owners since their last reports.
 type ownerStats struct {
 	mu     sync.Mutex
@@ -118,20 +123,20 @@
 }
 
 // ownersOf returns the hosts of a region that own servers of a service.
-func ownersOf(snap *snapshotter.Snapshot, svc *snapshotter.Service, region string) []snapshotter.Host {
+func (h *Host) ownersOf(snap *snapshotter.Snapshot, svc *snapshotter.Service, region string) []snapshotter.Host {
 	byName := make(map[string]snapshotter.Host)
 	var names []string
-	for _, h := range snap.Hosts() {
-		if h.Region == region && !h.Leaving {
-			byName[h.Name] = h
-			names = append(names, h.Name)
+	for _, host := range snap.Hosts() {
+		if host.Region == region && !host.Leaving && !h.slots.died(host.Name) {
+			byName[host.Name] = host
+			names = append(names, host.Name)
 		}
 	}
 	var out []snapshotter.Host
 	for _, b := range svc.Servers(region) {
 		owner := dispatcher.Owner(b.GetName(), names)
-		if h, ok := byName[owner]; ok {
-			out = append(out, h)
+		if host, ok := byName[owner]; ok {
+			out = append(out, host)
 			delete(byName, owner)
 		}
 	}
@@ -143,12 +148,26 @@
 func (h *Host) acquire(ctx context.Context, svc *snapshotter.Service, workspace string, exclude []string) (forwarder.Permit, error) {
 	snap := h.Snapshot()
 	refusal := error(&forwarder.AcquireError{Reason: dispatcher.ReasonNoServer, RetryAfter: clock.Second})
+	want := acquisition{workspace: workspace, exclude: exclude}
+	waitIn := ""
 	for _, region := range h.regionOrder(snap, svc.Config().GetName(), len(exclude) > 0) {
 		if err := h.mayShift(ctx, svc.Config().GetName(), region); err != nil {
 			refusal = err
 			continue
 		}
-		permit, err := h.acquireIn(ctx, snap, svc, region, workspace, exclude)
+		want.region = region
+		permit, err := h.acquireIn(ctx, snap, svc, want)
+		if err == nil || !errors.Is(err, errNoOwner) {
+			return permit, err
+		}
+		if waitIn == "" && errors.Is(err, errNotReady) {
+			waitIn = region
+		}
+	}
+	if waitIn != "" {
+		// No region can grant yet, as when a fleet starts; the request waits in the first one.
+		want.region, want.patient = waitIn, true
+		permit, err := h.acquireIn(ctx, h.Snapshot(), svc, want)
 		if err == nil || !errors.Is(err, errNoOwner) {
 			return permit, err
 		}
@@ -156,20 +175,21 @@
 	return forwarder.Permit{}, refusal
 }
 
-func (h *Host) acquireIn(ctx context.Context, snap *snapshotter.Snapshot, svc *snapshotter.Service, region, workspace string, exclude []string) (forwarder.Permit, error) {
-	owners := ownersOf(snap, svc, region)
+func (h *Host) acquireIn(ctx context.Context, snap *snapshotter.Snapshot, svc *snapshotter.Service, want acquisition) (forwarder.Permit, error) {
+	owners := h.ownersOf(snap, svc, want.region)
 	refusal := errNoOwner
 	for range ownersAsked {
 		if len(owners) == 0 {
 			break
 		}
-		i := h.owners.choose(owners, svc.Config().GetName(), hostsIn(snap, region), h.clock.Now())
-		a := &acquisition{h: h, owner: owners[i], region: region, service: svc.Config().GetName(), workspace: workspace, exclude: exclude}
+		i := h.owners.choose(owners, svc.Config().GetName(), hostsIn(snap, want.region), h.clock.Now())
+		a := want
+		a.h, a.owner, a.service = h, owners[i], svc.Config().GetName()
 		permit, err := a.run(ctx)
 		if err == nil {
 			return permit, nil
 		}
-		if !errors.Is(err, errNoOwner) {
+		if !errors.Is(err, errNoOwner) || errors.Is(err, errNotReady) && errors.Is(refusal, errNoOwner) {
 			refusal = err
 		}
 		if ctx.Err() != nil {
@@ -190,6 +210,8 @@
 	region, service, workspace string
 	exclude                    []string
 	id                         string
+	// patient waits for an owner that has no votes yet.
+	patient bool
 }
 
 // run asks until the owner decides, does not answer, or the context ends.
@@ -205,6 +227,9 @@
 		case err != nil:
 			if ctx.Err() == nil {
 				h.meter.Add("owners_silent", 1)
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					h.slots.refused(a.owner.Name, a.owner.Incarnation)
+				}
 				h.owners.setSilent(a.owner.Name, a.service, h.clock.Now()+silentTime)
 			}
 			a.end(schema.PermitResult_PERMIT_RESULT_UNUSED, 0)
@@ -215,8 +240,13 @@
 			h.meter.Add("grants_late", 1)
 			a.end(schema.PermitResult_PERMIT_RESULT_UNUSED, 0)
 			return forwarder.Permit{}, errNoOwner
-		case dec.Reason == reasonWaiting:
+		case dec.Reason == reasonWaiting || dec.Reason == reasonNotReady && a.patient:
 			continue
+		case dec.Reason == reasonNotReady:
+			h.meter.Add("owners_not_ready", 1)
+			h.owners.setSilent(a.owner.Name, a.service, h.clock.Now()+silentTime)
+			a.end(schema.PermitResult_PERMIT_RESULT_UNUSED, 0)
+			return forwarder.Permit{}, errNotReady
 		}
 		a.end(schema.PermitResult_PERMIT_RESULT_UNUSED, 0)
 		return forwarder.Permit{}, refusalOf(dec)
@@ -279,7 +309,9 @@
 		h.slots.release(a.id, result, took)
 		return
 	}
+	h.work.add(1)
 	go func() {
+		defer h.work.add(-1)
 		ctx, cancel := context.WithTimeout(h.running, releaseTimeout)
 		defer cancel()
 		_, err := h.cfg.Dial(ctx, a.owner.PeerAddress).Release(ctx, &schema.ReleaseRequest{
--- /dev/null
+++ b/pkg/runner/drains_test.go
@@ -0,0 +1,71 @@
+package runner
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+)
+
+// TestLeavingServerGetsNoWork guards against new work for a backend server more
+// than 5 s after its leaving was announced, whatever the way, and against work in flight that is cut.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	for name, announce := range map[string]func(*fleet){
+		"drains": func(fl *fleet) {
+			fl.write(replicator.Drains, &schema.Drains{BackendServers: []string{"slow-0"}})
+		},
+		"health": func(fl *fleet) { fl.slowLeaving.Store(true) },
+		"removed": func(fl *fleet) {
+			cfg := proto.CloneOf(fl.hosts["host-0"].Snapshot().Config())
+			for _, svc := range cfg.GetServices() {
+				svc.BackendServers = slices.DeleteFunc(svc.GetBackendServers(), func(b *schema.BackendServer) bool { return b.GetName() == "slow-0" })
+			}
+			fl.write(replicator.Config, cfg)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 4, func(fl *fleet) {
+				fl.addSlow(20 * time.Second)
+				fl.waitFor("servers owned", 10*time.Second, func() bool { return fl.owned("north") == 3 && fl.owned("south") == 2 })
+				var wg sync.WaitGroup
+				wg.Go(func() { assertStatusLater(t, fl.get("host-0", "/slow/long", "")) })
+				fl.waitFor("request sent", time.Second, func() bool { return fl.slowRuns.Load() == 1 })
+				var start time.Time
+				// Callers ask before and after, so the last arrival shows when new work ended.
+				for n := range 100 {
+					if n == 10 {
+						if fl.slowRuns.Load() < 10 {
+							t.Errorf("%d requests before the announcement, want more", fl.slowRuns.Load())
+						}
+						announce(fl)
+						start = time.Now()
+					}
+					for _, host := range []string{"host-0", "host-1", "host-2", "host-3"} {
+						wg.Go(func() { fl.get(host, "/slow", "") })
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				last := time.Unix(0, fl.slowLast.Load()).Sub(start)
+				t.Logf("last request to the leaving server %v after the announcement", last)
+				if last > 5*time.Second {
+					t.Errorf("new work %v after the announcement", last)
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
+
+// assertStatusLater checks an answer outside of the test's goroutine.
+func assertStatusLater(t *testing.T, resp *http.Response) {
+	t.Helper()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("request in flight: status %d, want 200", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/pkg/runner/listeners_test.go
@@ -0,0 +1,173 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"catkindyke/pkg/emulator"
+	"catkindyke/pkg/logger"
+	"catkindyke/pkg/publisher"
+	"catkindyke/pkg/replicator"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
+)
+
+// listening runs hosts with listeners on the loopback interface.
+func listening(t *testing.T, platform *emulator.Platform, storeURL, name string) *Host {
+	t.Helper()
+	var l [3]net.Listener
+	for i := range l {
+		var err error
+		l[i], err = net.Listen("tcp", "127.0.0.1:0")
+		assertNoError(t, err, "listen")
+	}
+	h, err := Start(Config{
+		Name: name, Region: "north", AvailabilityZone: "north-a", StoreURL: storeURL,
+		Caller: l[0], Operator: l[1], Peer: l[2], Log: logger.Discard(),
+	})
+	assertNoError(t, err, "start "+name)
+	t.Cleanup(h.Kill)
+	platform.SetHost(storeclient.Host{
+		Name: name, State: storeclient.HostLive, Region: "north", AvailabilityZone: "north-a",
+		Address: h.CallerAddress(), PeerAddress: h.PeerAddress(),
+	})
+	return h
+}
+
+// eventually waits for a condition. The limit only ends a test that would hang.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 6000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal(what + ": did not happen")
+}
+
+// listeningPair runs two hosts of one region and a backend server with three
+// slots, and returns a function that puts another limit of connections in force.
+func listeningPair(t *testing.T, handler http.Handler, state func(net.Conn, http.ConnState), connections uint32) (stays, goes *Host, limit func(uint32)) {
+	t.Helper()
+	platform := emulator.NewPlatform(emulator.Budget{ReadsPerSecond: 2000, WritesPerSecond: 300})
+	store := httptest.NewServer(platform)
+	t.Cleanup(store.Close)
+	backend := httptest.NewUnstartedServer(handler)
+	backend.Config.ConnState = state
+	backend.Start()
+	t.Cleanup(backend.Close)
+	version := uint64(0)
+	limit = func(connections uint32) {
+		t.Helper()
+		cfg, err := proto.Marshal(&schema.Config{
+			Regions: []*schema.Region{{Name: "north", AvailabilityZones: []string{"north-a"}}},
+			Services: []*schema.Service{{
+				Name: "dispatch", Slots: 3, Connections: connections, ServiceTimeMs: 10, DeadlineMs: 20000,
+				ProgressTimeoutMs: 20000, OpenRoutes: []string{"/dispatch"},
+				BackendServers: []*schema.BackendServer{{
+					Name: "backend-0", Address: backend.Listener.Addr().String(), Region: "north", AvailabilityZone: "north-a",
+				}},
+			}},
+			Settings: &schema.Settings{LookupAgeMs: 100},
+		})
+		assertNoError(t, err, "encode")
+		client := storeclient.New(storeclient.Config{BaseURL: store.URL})
+		head, err := publisher.New(client).Write(context.Background(), replicator.Config, cfg, version, "test")
+		assertNoError(t, err, "write")
+		version = head.GetVersion()
+	}
+	limit(connections)
+	stays, goes = listening(t, platform, store.URL, "stays"), listening(t, platform, store.URL, "goes")
+	eventually(t, "server owned", func() bool {
+		return stays.Snapshot().Ready() && goes.Snapshot().Ready() && len(stays.Snapshot().Hosts()) == 2 &&
+			len(goes.Snapshot().Hosts()) == 2 && len(stays.slots.owned())+len(goes.slots.owned()) == 1
+	})
+	return stays, goes, limit
+}
+
+// TestPlannedStopListeners guards against a planned stop that cuts an upload,
+// keeps callers on their connections, or leaves its peers without answers
+// before the upload has ended.
+func TestPlannedStopListeners(t *testing.T) {
+	stays, goes, _ := listeningPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}), nil, 0)
+	get := func(h *Host) *http.Response {
+		resp, err := http.Get("http://" + h.CallerAddress() + "/dispatch/x")
+		assertNoError(t, err, "request")
+		text, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Logf("%s", text)
+		}
+		return resp
+	}
+	assertStatus(t, get(goes), http.StatusOK, "before the stop")
+	body, upload := io.Pipe()
+	type result struct {
+		text string
+		err  error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+goes.CallerAddress()+"/dispatch/upload", body)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- result{"", err}
+			return
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		answered <- result{string(text), err}
+	}()
+	_, err := upload.Write([]byte("first,"))
+	assertNoError(t, err, "upload")
+	stopped := make(chan error, 1)
+	go func() { stopped <- goes.Stop(context.Background()) }()
+	eventually(t, "connections close", goes.work.closing.Load)
+	if resp := get(goes); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, close %v: a caller with a cached answer must be served and told to go", resp.StatusCode, resp.Close)
+	}
+	eventually(t, "listener closed", func() bool {
+		conn, err := net.Dial("tcp", goes.CallerAddress())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	})
+	report := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := stays.cfg.Dial(ctx, goes.PeerAddress()).ReportPermits(ctx, stays.slots.reportFor("goes", "north"))
+		return err
+	}
+	eventually(t, "share slots handed over", func() bool { return goes.Lease().Slots == 0 })
+	assertNoError(t, report(), "report to the host while its upload goes on")
+	select {
+	case err := <-stopped:
+		t.Fatalf("stopped before the upload had ended: %v", err)
+	default:
+	}
+	_, err = upload.Write([]byte("last"))
+	assertNoError(t, err, "upload")
+	assertNoError(t, upload.Close(), "end of the upload")
+	r := <-answered
+	assertNoError(t, r.err, "upload")
+	if strings.TrimSpace(r.text) != "first,last" {
+		t.Errorf("answer %q", r.text)
+	}
+	assertNoError(t, <-stopped, "stop")
+	eventually(t, "refusal seen", func() bool { return errors.Is(report(), syscall.ECONNREFUSED) })
+	assertStatus(t, get(stays), http.StatusOK, "after the stop")
+}
--- a/pkg/runner/permits.go
+++ b/pkg/runner/permits.go
@@ -12,6 +12,9 @@
 // reasonWaiting answers a call whose request keeps its place in the queue; the entry host asks again.
 const reasonWaiting = "waiting"
 
+// reasonNotReady answers a call whose request waits for an owner that has no votes yet.
+const reasonNotReady = "not_ready"
+
 // holdCall is how long an owner holds an Acquire call open. It is half of the
 // time for which a grant may be used, so that an answer at the end is still in time.
 const holdCall = 250 * time.Millisecond
@@ -43,6 +46,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	if !h.slots.canGrant(r.Service) {
+		return dispatcher.Decision{ID: r.ID, Reason: reasonNotReady}
+	}
 	return dispatcher.Decision{ID: r.ID, Reason: reasonWaiting}
 }
 
--- a/pkg/runner/reports.go
+++ b/pkg/runner/reports.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"syscall"
 	"time"
 
 	"catkindyke/pkg/schema"
@@ -29,7 +33,7 @@
 func (h *Host) runSlots(ctx context.Context) {
 	tick := time.NewTicker(stepInterval)
 	defer tick.Stop()
-	hosts := 0
+	fleet := ""
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -39,8 +43,8 @@
 		snap := h.Snapshot()
 		h.slots.update(snap)
 		// A change of the fleet is reported at once, so that a hand-over does not wait for the interval.
-		if n%reportSteps == 0 || hosts != len(snap.Hosts()) {
-			hosts = len(snap.Hosts())
+		if now := fleetOf(snap); n%reportSteps == 0 || fleet != now {
+			fleet = now
 			h.sendReports(ctx, snap, func(string) bool { return true })
 			h.measure()
 		} else {
@@ -52,6 +56,15 @@
 	}
 }
 
+// fleetOf names the live hosts and those that leave, to notice changes.
+func fleetOf(snap *snapshotter.Snapshot) string {
+	var out strings.Builder
+	for _, h := range snap.Hosts() {
+		fmt.Fprintln(&out, h.Name, h.Incarnation, h.Leaving)
+	}
+	return out.String()
+}
+
 // sendReports reports to the hosts for which due is true, and always to the host itself.
 func (h *Host) sendReports(ctx context.Context, snap *snapshotter.Snapshot, due func(string) bool) {
 	for _, peer := range snap.Hosts() {
@@ -86,6 +99,9 @@
 	resp, err := h.cfg.Dial(ctx, peer.PeerAddress).ReportPermits(ctx, h.slots.reportFor(peer.Name, peer.Region))
 	if err != nil {
 		h.meter.Add("reports_failed", 1)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			h.slots.refused(peer.Name, peer.Incarnation)
+		}
 		return
 	}
 	h.slots.answered(peer.Name, resp)
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -4,7 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -78,13 +78,11 @@
 	owners  *ownerStats
 	health  http.RoundTripper
 	shifts  *shifts
+	work    work
+	// transports are the connections to backend servers, nil when they are replaced.
+	transports *forwarder.Transports
 }
 
-// connectionsPerServer bounds one host's connections to a backend server. With
-// one more for health, 16 hosts stay below the 330 connections of the smaller
-// deployment; exact permits keep the connections in use at the server's slots.
-const connectionsPerServer = 16
-
 // Header limits protect a host from callers that send too much or too slowly.
 const (
 	maxHeaderBytes    = 64 << 10
@@ -98,9 +96,16 @@
 	if health == nil {
 		health = forwarder.NewTransport(1)
 	}
+	var transports *forwarder.Transports
+	if cfg.BackendTransport == nil {
+		transports = forwarder.NewTransports()
+	}
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Host{cfg: cfg, meter: meter.New(), cancel: cancel, running: ctx, owners: newOwnerStats(), health: health, shifts: newShifts()}
+	h := &Host{
+		cfg: cfg, meter: meter.New(), cancel: cancel, running: ctx, owners: newOwnerStats(), health: health,
+		shifts: newShifts(), transports: transports,
+	}
 	provider, err := tracer.New(ctx, cfg.Tracing)
 	if err != nil {
 		cancel()
@@ -128,14 +133,15 @@
 	h.forwarder = forwarder.New(forwarder.Config{
 		Snapshot: h.controller.Snapshot, Admit: h.controller.Admit, Acquire: h.acquire,
 		Clock: clk, Log: cfg.Log.For(logger.Traffic), Meter: h.meter, Tracer: provider.Tracer(),
-		Transport: cfg.BackendTransport,
-		Claims:    claimer.New(claimer.Config{Store: h.store}),
+		Transport: cfg.BackendTransport, Transports: transports,
+		Claims: claimer.New(claimer.Config{Store: h.store}),
 	})
 	api := apiserver.Config{
 		Snapshot: h.controller.Snapshot, Meter: h.meter, Forward: h.forwarder, Clock: clk, StoreCalls: h.storeCalls, Tokens: h.tokens,
 	}
-	h.caller = newServer(apiserver.Caller(api))
-	h.operator = newServer(apiserver.Operator(api))
+	errorLog := serverLog(cfg.Log.For(logger.Traffic))
+	h.caller = newServer(h.work.track(apiserver.Caller(api)), errorLog)
+	h.operator = newServer(apiserver.Operator(api), errorLog)
 	if err := h.listen(ctx); err != nil {
 		cancel()
 		return nil, err
@@ -157,9 +163,6 @@
 	if cfg.OperatorAddress == "" && cfg.Operator != nil {
 		cfg.OperatorAddress = cfg.Operator.Addr().String()
 	}
-	if cfg.BackendTransport == nil {
-		cfg.BackendTransport = forwarder.NewTransport(connectionsPerServer)
-	}
 	return cfg
 }
 
@@ -183,9 +186,9 @@
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
+func newServer(handler http.Handler, errorLog *log.Logger) *http.Server {
 	return &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ErrorLog: errorLog, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}
 }
@@ -222,26 +225,6 @@
 // PeerAddress returns the address for other hosts.
 func (h *Host) PeerAddress() string { return h.cfg.PeerAddress }
 
-// stopMargin is added to the look-up age, so that an answer on its way is covered.
-const stopMargin = 2 * time.Second
-
-// Stop makes a planned stop: others learn that the host leaves, callers with a
-// cached answer are served until its age has passed, and requests in flight end.
-func (h *Host) Stop(ctx context.Context) error {
-	if err := h.controller.Leave(ctx); err != nil {
-		return err
-	}
-	age := time.Duration(h.Snapshot().Config().GetSettings().GetLookupAgeMs()) * time.Millisecond
-	select {
-	case <-time.After(age + stopMargin):
-	case <-ctx.Done():
-	}
-	handOver := h.controller.HandOver(ctx)
-	err := h.caller.Shutdown(ctx)
-	h.Kill()
-	return errors.Join(handOver, err, h.tracing.Shutdown(ctx))
-}
-
 // Kill ends the host at once, as a crash would.
 func (h *Host) Kill() {
 	h.cancel()
@@ -251,6 +234,9 @@
 		_ = h.cfg.Peer.Close()
 	}
 	_ = h.dialer.Close()
+	if h.transports != nil {
+		h.transports.CloseIdleConnections()
+	}
 	if t, ok := h.health.(*http.Transport); ok {
 		t.CloseIdleConnections()
 	}
--- a/pkg/runner/slots.go
+++ b/pkg/runner/slots.go
@@ -132,6 +132,34 @@
 	return soon
 }
 
+// leave ends all grants of the host.
+func (s *slots) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.d.Leave(s.clock.Now())
+	s.step()
+}
+
+// refused takes the proof that nothing listens on a host's peer port any more.
+func (s *slots) refused(host string, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.d.Dead(host, incarnation, s.clock.Now())
+	s.step()
+}
+
+func (s *slots) died(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.d.Died(host)
+}
+
+func (s *slots) canGrant(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.d.CanGrant(service, s.clock.Now())
+}
+
 func (s *slots) health(service, server string, failed, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,9 +189,14 @@
 // viewOf takes from a snapshot what ownership depends on.
 func viewOf(snap *snapshotter.Snapshot) dispatcher.View {
 	region := snap.Self().Region
-	view := dispatcher.View{Weights: make(map[string]float64)}
+	view := dispatcher.View{Weights: make(map[string]float64), Incarnations: make(map[string]uint64)}
 	for _, h := range snap.Hosts() {
 		view.Live = append(view.Live, h.Name)
+		view.Incarnations[h.Name] = h.Incarnation
+		// A state without an incarnation comes from the platform's list and says nothing about the host's grants.
+		if h.Leaving && h.Incarnation != 0 {
+			view.Released = append(view.Released, h.Name)
+		}
 		if h.Region != region {
 			continue
 		}
--- a/service/apiserver/apiserver.go
+++ b/service/apiserver/apiserver.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"net/http"
 
 	"catkindyke/pkg/clock"
@@ -41,7 +42,7 @@
 	mux.HandleFunc("GET /v1/explain", cfg.explain)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", cfg.ready)
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", cfg.vars)
 	return mux
 }
 
@@ -56,6 +57,19 @@
 	writeJSON(w, http.StatusOK, st)
 }
 
+// vars prints the host's own counters, also when several hosts run in one
+// process, and the variables of the process.
+func (cfg Config) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprintf(w, "{\n%q: %s", "catkindyke", cfg.Meter.Map())
+	expvar.Do(func(kv expvar.KeyValue) {
+		if kv.Key != "catkindyke" {
+			fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
+		}
+	})
+	fmt.Fprintln(w, "\n}")
+}
+
 func (cfg Config) ready(w http.ResponseWriter, _ *http.Request) {
 	if !cfg.Snapshot().Ready() {
 		writeJSON(w, http.StatusServiceUnavailable, Error{"no configuration in force"})
