Charge shifts by the caller's home region, not the entry host's

Cause: a caller that a look-up had sent to another region entered there as if it were at home. It took no shift token, so a drained region's traffic passed the cap, and the demand of its own region fell, so a plan changed its own input. Ruled out: charging in the look-up, which cannot know how many requests follow. Change: the home region of a request is that of the caller's site, the entry host's when the block is unknown; routing, shift buckets and demand use it. SlotRequest replaces the parameters of Acquire.

--- a/pkg/controller/plans.go
+++ b/pkg/controller/plans.go
@@ -184,7 +184,7 @@
 		}
 	}
 	for _, d := range info.GetDemands() {
-		key := [2]string{d.GetService(), info.GetRegion()}
+		key := [2]string{d.GetService(), d.GetRegion()}
 		s.demands[key] = planner.Demand{
 			Service: key[0], Region: key[1], RatePerS: s.demands[key].RatePerS + d.GetRatePerS(),
 			Age: max(s.demands[key].Age, age),
--- a/pkg/controller/regions.go
+++ b/pkg/controller/regions.go
@@ -20,15 +20,17 @@
 	counts map[string]int64
 }
 
-// DemandCounter names the counter of the requests for a service that enter at the host.
-func DemandCounter(service string) string { return "demand_" + service }
+// DemandCounter names the counter of the requests for a service that enter at
+// the host, by the home region of their callers.
+func DemandCounter(service, home string) string { return "demand_" + service + "_from_" + home }
 
 // measureDemand runs on the control goroutine.
 func (c *Controller) measureDemand(now clock.Millis) {
 	s := demandSample{now, make(map[string]int64)}
-	for _, svc := range c.input.Config.GetServices() {
-		s.counts[svc.GetName()] = c.cfg.Meter.Get(DemandCounter(svc.GetName()))
-	}
+	c.eachRoute(func(service, home string) {
+		name := DemandCounter(service, home)
+		s.counts[name] = c.cfg.Meter.Get(name)
+	})
 	d := &c.demand
 	d.samples = append(d.samples, s)
 	d.samples = d.samples[max(0, len(d.samples)-demandSamples-1):]
@@ -37,9 +39,25 @@
 		return
 	}
 	d.rates = nil
+	c.eachRoute(func(service, home string) {
+		name := DemandCounter(service, home)
+		n := s.counts[name] - first.counts[name]
+		// Demand of other regions is told only while there is some, so that the age
+		// of a silent host's figures counts only where it has a part.
+		if n > 0 || home == c.input.Self.Region {
+			d.rates = append(d.rates, &schema.Demand{
+				Service: service, Region: home, RatePerS: float64(n) * 1000 / float64(now-first.at),
+			})
+		}
+	})
+}
+
+// eachRoute calls f for each service and home region.
+func (c *Controller) eachRoute(f func(service, home string)) {
 	for _, svc := range c.input.Config.GetServices() {
-		n := s.counts[svc.GetName()] - first.counts[svc.GetName()]
-		d.rates = append(d.rates, &schema.Demand{Service: svc.GetName(), RatePerS: float64(n) * 1000 / float64(now-first.at)})
+		for _, region := range c.input.Config.GetRegions() {
+			f(svc.GetName(), region.GetName())
+		}
 	}
 }
 
--- a/pkg/forwarder/bench_test.go
+++ b/pkg/forwarder/bench_test.go
@@ -51,7 +51,7 @@
 	return New(Config{
 		Snapshot: func() *snapshotter.Snapshot { return snap },
 		Admit:    func(context.Context, string) (limiter.Verdict, clock.Millis) { return limiter.Admitted, 0 },
-		Acquire: func(context.Context, *snapshotter.Service, string, []string) (Permit, error) {
+		Acquire: func(context.Context, SlotRequest) (Permit, error) {
 			return Permit{BackendServer: "s", Address: address, Release: func(schema.PermitResult) {}}, nil
 		},
 		Clock: clock.New(), Log: zerolog.New(io.Discard), Meter: meter.New(),
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -52,6 +52,18 @@
 	Release func(schema.PermitResult)
 }
 
+// SlotRequest asks for a slot of a backend server.
+type SlotRequest struct {
+	// Service is the service that the request is for.
+	Service *snapshotter.Service
+	// Workspace is the workspace of the key; empty on open routes.
+	Workspace string
+	// Home is the region of the caller's site.
+	Home string
+	// Exclude names the backend servers that the request has already tried.
+	Exclude []string
+}
+
 // AcquireError says why no slot was granted.
 type AcquireError struct {
 	// Reason is a stable word for the cause, in snake case.
@@ -71,7 +83,7 @@
 	// It may wait for a short time while tokens are borrowed from another host.
 	Admit func(ctx context.Context, workspace string) (limiter.Verdict, clock.Millis)
 	// Acquire waits for a slot until the context ends. Its errors are AcquireErrors.
-	Acquire func(ctx context.Context, svc *snapshotter.Service, workspace string, exclude []string) (Permit, error)
+	Acquire func(ctx context.Context, req SlotRequest) (Permit, error)
 	// Clock tells the time.
 	Clock clock.Clock
 	// Log receives one line for each request.
--- a/pkg/forwarder/harness_test.go
+++ b/pkg/forwarder/harness_test.go
@@ -191,7 +191,8 @@
 	})
 }
 
-func (fx *fixture) acquire(ctx context.Context, _ *snapshotter.Service, _ string, exclude []string) (Permit, error) {
+func (fx *fixture) acquire(ctx context.Context, req SlotRequest) (Permit, error) {
+	exclude := req.Exclude
 	if fx.duringAcquire != nil {
 		if err := fx.duringAcquire(ctx); err != nil {
 			return Permit{}, err
--- a/pkg/forwarder/send.go
+++ b/pkg/forwarder/send.go
@@ -96,7 +96,7 @@
 func (f *Forwarder) acquire(ctx context.Context, x *exchange, exclude []string) (Permit, *Refusal) {
 	ctx, span := f.cfg.Tracer.Start(ctx, "acquire")
 	defer span.End()
-	permit, err := f.cfg.Acquire(acquireContext{ctx, x.deadline}, x.svc, x.workspace, exclude)
+	permit, err := f.cfg.Acquire(acquireContext{ctx, x.deadline}, SlotRequest{x.svc, x.workspace, x.snap.HomeRegion(x.r), exclude})
 	if err != nil {
 		return permit, f.acquireRefusal(ctx, x, err)
 	}
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -145,13 +145,13 @@
 
 // acquire asks the owners of the regions in their order. A full queue is not a
 // reason to go to another region; that is left to the plan.
-func (h *Host) acquire(ctx context.Context, svc *snapshotter.Service, workspace string, exclude []string) (forwarder.Permit, error) {
-	snap := h.Snapshot()
+func (h *Host) acquire(ctx context.Context, req forwarder.SlotRequest) (forwarder.Permit, error) {
+	snap, svc := h.Snapshot(), req.Service
 	refusal := error(&forwarder.AcquireError{Reason: dispatcher.ReasonNoServer, RetryAfter: clock.Second})
-	want := acquisition{workspace: workspace, exclude: exclude}
+	want := acquisition{workspace: req.Workspace, exclude: req.Exclude}
 	waitIn := ""
-	for _, region := range h.regionOrder(snap, svc.Config().GetName(), len(exclude) > 0) {
-		if err := h.mayShift(ctx, svc.Config().GetName(), region); err != nil {
+	for _, region := range h.regionOrder(snap, req) {
+		if err := h.mayShift(ctx, svc.Config().GetName(), req.Home, region); err != nil {
 			refusal = err
 			continue
 		}
--- a/pkg/runner/plans_test.go
+++ b/pkg/runner/plans_test.go
@@ -249,11 +249,16 @@
 }
 
 // TestRegionDrained guards against a drained region that keeps traffic, and
-// against a shift over its cap.
+// against a shift over its cap, also of callers whom look-ups have sent to a
+// host of the other region already.
 func TestRegionDrained(t *testing.T) {
 	const capPerS = 20
 	withFleet(t, 4, func(fl *fleet) {
 		fl.addLinks(capPerS)
+		cfg := fl.config()
+		// The address of httptest's requests belongs to the north.
+		cfg.Sites = []*schema.Site{{Name: "lake", Region: "north", Blocks: []string{"192.0.2.0/24"}}}
+		fl.waitFor("site", inForceLimit, fl.inForce(replicator.Config, fl.write(replicator.Config, cfg)))
 		start := time.Now()
 		version := fl.write(replicator.Drains, &schema.Drains{Regions: []string{"north"}})
 		fl.waitFor("drain", inForceTarget, fl.inForce(replicator.Drains, version))
@@ -263,33 +268,44 @@
 			return len(weights) == 1 && weights[0].GetRegion() == "south"
 		})
 		t.Logf("weights at north are zero after %s", time.Since(start))
-		start = time.Now()
-		answers := make(chan *http.Response, 400)
-		for range cap(answers) {
-			go func() { answers <- fl.get("host-0", "/dispatch/open", "") }()
-			time.Sleep(5 * time.Millisecond)
+		for _, entry := range []string{"host-0", "host-1"} {
+			t.Logf("entering at %s", entry)
+			fl.checkShiftCap(entry, capPerS)
+			time.Sleep(5 * time.Second)
 		}
-		passed, refused := 0, 0
-		for range cap(answers) {
-			resp := <-answers
-			switch {
-			case resp.StatusCode == http.StatusOK:
-				passed++
-				if got := resp.Header.Get(forwarder.ServerHeader); got != "backend-1" && got != "backend-3" {
-					t.Fatalf("a request ran at %s in the drained region", got)
-				}
-			case resp.Header.Get(forwarder.OutcomeHeader) == string(forwarder.NotRun):
-				refused++
-			default:
-				t.Fatalf("status %d, outcome %q", resp.StatusCode, resp.Header.Get(forwarder.OutcomeHeader))
+	})
+}
+
+// checkShiftCap sends 400 requests from the north in 2 s to a host while the
+// north is drained, and requires that no more run than the cap allows.
+func (fl *fleet) checkShiftCap(entry string, capPerS float64) {
+	fl.t.Helper()
+	start := time.Now()
+	answers := make(chan *http.Response, 400)
+	for range cap(answers) {
+		go func() { answers <- fl.get(entry, "/dispatch/open", "") }()
+		time.Sleep(5 * time.Millisecond)
+	}
+	passed, refused := 0, 0
+	for range cap(answers) {
+		resp := <-answers
+		switch {
+		case resp.StatusCode == http.StatusOK:
+			passed++
+			if got := resp.Header.Get(forwarder.ServerHeader); got != "backend-1" && got != "backend-3" {
+				fl.t.Fatalf("a request ran at %s in the drained region", got)
 			}
+		case resp.Header.Get(forwarder.OutcomeHeader) == string(forwarder.NotRun):
+			refused++
+		default:
+			fl.t.Fatalf("status %d, outcome %q", resp.StatusCode, resp.Header.Get(forwarder.OutcomeHeader))
 		}
-		limit := capPerS*time.Since(start).Seconds() + capPerS
-		t.Logf("%d passed, %d refused, at most %.0f may pass", passed, refused, limit)
-		if float64(passed) > limit || passed == 0 || refused == 0 {
-			t.Errorf("%d passed and %d refused, at most %.0f may pass", passed, refused, limit)
-		}
-	})
+	}
+	limit := capPerS*time.Since(start).Seconds() + capPerS
+	fl.t.Logf("%d passed, %d refused, at most %.0f may pass", passed, refused, limit)
+	if float64(passed) > limit || passed == 0 || refused == 0 {
+		fl.t.Errorf("%d passed and %d refused, at most %.0f may pass", passed, refused, limit)
+	}
 }
 
 // TestRegionLost guards against requests that go to a region without live
--- a/pkg/runner/regions.go
+++ b/pkg/runner/regions.go
@@ -16,7 +16,7 @@
 // whose shift buckets are empty.
 const reasonShiftCap = "shift_cap"
 
-// shifts counts the requests of each service, to spread them over the regions.
+// shifts counts the requests of each service and home region, to spread them over the regions.
 type shifts struct {
 	mu     sync.Mutex
 	counts map[string]uint64
@@ -24,26 +24,29 @@
 
 func newShifts() *shifts { return &shifts{counts: make(map[string]uint64)} }
 
-func (s *shifts) next(service string) int {
+func (s *shifts) next(route string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts[service]++
-	return router.Point(s.counts[service])
+	s.counts[route]++
+	return router.Point(s.counts[route])
 }
 
 // regionOrder returns the regions to try for a request, and counts the request
-// as demand when it is not a repeat.
-func (h *Host) regionOrder(snap *snapshotter.Snapshot, service string, repeat bool) []string {
-	if !repeat {
-		h.meter.Add(controller.DemandCounter(service), 1)
+// as demand of the caller's home region when it is not a repeat. The home
+// region, not that of the entry host, decides: a caller that a look-up has sent
+// to another region is part of the same shift.
+func (h *Host) regionOrder(snap *snapshotter.Snapshot, req forwarder.SlotRequest) []string {
+	service := req.Service.Config().GetName()
+	if len(req.Exclude) == 0 {
+		h.meter.Add(controller.DemandCounter(service, req.Home), 1)
 	}
-	q := router.Query{Service: service, Home: snap.Self().Region, Point: h.shifts.next(service)}
+	q := router.Query{Service: service, Home: req.Home, Point: h.shifts.next(service + "/" + req.Home)}
 	return router.Decide(snap, q).Regions
 }
 
-// mayShift takes a token of the shift bucket for a request to another region.
-func (h *Host) mayShift(ctx context.Context, service, region string) error {
-	home := h.cfg.Region
+// mayShift takes a token of the shift bucket for a request that is served
+// outside the caller's home region.
+func (h *Host) mayShift(ctx context.Context, service, home, region string) error {
 	if region == home {
 		return nil
 	}
--- a/service/apiserver/lookup.go
+++ b/service/apiserver/lookup.go
@@ -3,11 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -62,7 +59,10 @@
 		refuseLookup(w, http.StatusServiceUnavailable, "not ready: no configuration in force", notReadyRetry)
 		return
 	}
-	addr, err := l.callerAddr(snap, r)
+	addr, ignored, err := snap.CallerAddr(r)
+	if ignored {
+		l.cfg.Meter.Add("lookups_forwarded_ignored", 1)
+	}
 	if err != nil {
 		refuseLookup(w, http.StatusBadRequest, err.Error(), 0)
 		return
@@ -172,58 +172,3 @@
 	}
 	writeJSON(w, status, LookupRefusal{text, int64(retry)})
 }
-
-// errBadAddress says that the caller's address cannot be read.
-var errBadAddress = errors.New("bad caller address")
-
-// maxForwarded bounds the addresses that are read from X-Forwarded-For.
-const maxForwarded = 32
-
-// callerAddr returns the peer address, or the forwarded one when the peer is
-// trusted: the last address of X-Forwarded-For that is not itself trusted. From
-// another peer the header is ignored, because any caller can send it.
-func (l *lookups) callerAddr(snap *snapshotter.Snapshot, r *http.Request) (netip.Addr, error) {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return netip.Addr{}, errBadAddress
-	}
-	addr, err := parseAddr(host)
-	if err != nil {
-		return netip.Addr{}, err
-	}
-	values := r.Header["X-Forwarded-For"]
-	if len(values) == 0 {
-		return addr, nil
-	}
-	if !snap.TrustedProxy(addr) {
-		l.cfg.Meter.Add("lookups_forwarded_ignored", 1)
-		return addr, nil
-	}
-	list := strings.Split(strings.Join(values, ","), ",")
-	for n := len(list) - 1; n >= 0 && len(list)-n <= maxForwarded; n-- {
-		text := strings.TrimSpace(list[n])
-		if text == "" && len(list) == 1 {
-			return addr, nil
-		}
-		if addr, err = parseAddr(text); err != nil {
-			return netip.Addr{}, errors.New("bad address " + strconv.Quote(text) + " in X-Forwarded-For")
-		}
-		if !snap.TrustedProxy(addr) {
-			return addr, nil
-		}
-	}
-	return addr, nil
-}
-
-// parseAddr reads an address with or without a port, and IPv4 in IPv6 form as IPv4.
-func parseAddr(s string) (netip.Addr, error) {
-	addr, err := netip.ParseAddr(strings.TrimSuffix(strings.TrimPrefix(s, "["), "]"))
-	if err != nil {
-		var withPort netip.AddrPort
-		if withPort, err = netip.ParseAddrPort(s); err != nil {
-			return netip.Addr{}, errBadAddress
-		}
-		addr = withPort.Addr()
-	}
-	return addr.Unmap().WithZone(""), nil
-}
