--- a/cmd/catkindyke/commander/drain.go
+++ b/cmd/catkindyke/commander/drain.go
@@ -23,32 +23,27 @@
 const drainKinds = "host|backend_server|availability_zone|region"
 
 func (c *Commander) drainCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("drain", flag.ContinueOnError)
-	store := storeFlag(fs)
-	lost := fs.Bool("lost", false, "the host is lost for good; other hosts take its share slots. Wrong use lets a workspace exceed its rate")
-	f := &confirmFlags{}
-	f.register(fs)
-	return c.command(ffcli.Command{
-		Name: "drain", ShortUsage: "catkindyke drain [flags] " + drainKinds + " NAME",
-		ShortHelp: "Takes a host, backend server, availability zone or region out of service.", FlagSet: fs,
-		LongHelp: "New work stops within a few seconds; work in flight ends. A drained host stays up and serves callers with a cached answer.",
-		Exec: func(ctx context.Context, args []string) error {
-			return c.changeDrains(ctx, f, *store, args, *lost, true)
-		},
-	})
+	return c.drainsCommand("drain", true,
+		"Takes a host, backend server, availability zone or region out of service.",
+		"the host is lost for good; other hosts take its share slots. Wrong use lets a workspace exceed its rate")
 }
 
 func (c *Commander) undrainCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("undrain", flag.ContinueOnError)
+	return c.drainsCommand("undrain", false, "Puts a drained target back in service.", "take back the word that a host is lost")
+}
+
+func (c *Commander) drainsCommand(name string, add bool, help, lostHelp string) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	store := storeFlag(fs)
-	lost := fs.Bool("lost", false, "take back the word that a host is lost")
+	lost := fs.Bool("lost", false, lostHelp)
 	f := &confirmFlags{}
 	f.register(fs)
 	return c.command(ffcli.Command{
-		Name: "undrain", ShortUsage: "catkindyke undrain [flags] " + drainKinds + " NAME",
-		ShortHelp: "Puts a drained target back in service.", FlagSet: fs,
+		Name: name, ShortUsage: "catkindyke " + name + " [flags] " + drainKinds + " NAME",
+		ShortHelp: help, FlagSet: fs,
+		LongHelp: "New work stops within a few seconds; work in flight ends. A drained host stays up and serves callers with a cached answer.",
 		Exec: func(ctx context.Context, args []string) error {
-			return c.changeDrains(ctx, f, *store, args, *lost, false)
+			return c.changeDrains(ctx, f, *store, args, *lost, add)
 		},
 	})
 }
