Declare a whole region lost with one command

Change: drain -lost region NAME names all members of the region in the ledger as lost. A rule without an operator needs proof that the region is not only cut off, which a store outage cannot give.

--- a/cmd/catkindyke/commander/drain.go
+++ b/cmd/catkindyke/commander/drain.go
@@ -14,6 +14,7 @@
 	"catkindyke/pkg/publisher"
 	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
+	"catkindyke/pkg/storeclient"
 )
 
 // errUnknownTarget says that the configuration in force names no such target.
@@ -25,11 +26,11 @@
 func (c *Commander) drainCommand() *ffcli.Command {
 	return c.drainsCommand("drain", true,
 		"Takes a host, backend server, availability zone or region out of service.",
-		"the host is lost for good; other hosts take its share slots. Wrong use lets a workspace exceed its rate")
+		"the host, or each host of the region, has ended for good; other hosts take its share slots. Wrong use lets a workspace exceed its rate")
 }
 
 func (c *Commander) undrainCommand() *ffcli.Command {
-	return c.drainsCommand("undrain", false, "Puts a drained target back in service.", "take back the word that a host is lost")
+	return c.drainsCommand("undrain", false, "Puts a drained target back in service.", "take back the word that a host, or each host of the region, is lost")
 }
 
 func (c *Commander) drainsCommand(name string, add bool, help, lostHelp string) *ffcli.Command {
@@ -53,8 +54,8 @@
 		return usageError("a kind (%s) and a name are needed", drainKinds)
 	}
 	kind, name := args[0], args[1]
-	if lost && kind != "host" {
-		return usageError("-lost is for hosts only")
+	if lost && kind != "host" && kind != "region" {
+		return usageError("-lost is for hosts and regions only")
 	}
 	if drainList(&schema.Drains{}, kind, lost) == nil {
 		return usageError("unknown kind %q; use %s", kind, drainKinds)
@@ -69,12 +70,19 @@
 			return err
 		}
 	}
+	names := []string{name}
+	if lost && kind == "region" {
+		var err error
+		if names, err = shareHolders(ctx, client, name); err != nil {
+			return err
+		}
+	}
 	verb := map[bool]string{true: "drain", false: "undrain"}[add]
 	head, err := publisher.Change(ctx, p, replicator.Drains, verb+" "+kind+" "+name, func(d *schema.Drains) error {
 		list := drainList(d, kind, lost)
-		*list = slices.DeleteFunc(*list, func(have string) bool { return have == name })
+		*list = slices.DeleteFunc(*list, func(have string) bool { return slices.Contains(names, have) })
 		if add {
-			*list = append(*list, name)
+			*list = append(*list, names...)
 		}
 		return nil
 	})
@@ -85,10 +93,30 @@
 	return f.confirm(ctx, client, replicator.Drains, head.GetVersion(), c.stdout)
 }
 
+// shareHolders returns the hosts of a region that stand in the share ledger. The
+// ledger names hosts that the platform's list has dropped already.
+func shareHolders(ctx context.Context, store *storeclient.Client, region string) ([]string, error) {
+	obj, err := store.Get(ctx, replicator.LedgerName)
+	if err != nil {
+		return nil, err
+	}
+	ledger := &schema.Ledger{}
+	if err := proto.Unmarshal(obj.Value, ledger); err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, m := range ledger.GetMembers() {
+		if m.GetRegion() == region {
+			names = append(names, m.GetHost())
+		}
+	}
+	return names, nil
+}
+
 // drainList returns the list that a kind of target is kept in, nil for an unknown kind.
 func drainList(d *schema.Drains, kind string, lost bool) *[]string {
 	switch {
-	case kind == "host" && lost:
+	case lost && (kind == "host" || kind == "region"):
 		return &d.LostHosts
 	case kind == "host":
 		return &d.Hosts
