Trace the hop to the owner of slots, and try bad input on every command

Cause: a trace had entry, acquire and backend spans, but none of the host that granted the slot; no test tried bad input or an unreachable store on most commands; status did not say which host plans. Change: Acquire carries the trace context and the owner's span joins the trace; emulate and key list refuse extra arguments and bad budgets; status marks the host that plans. TestUsage now has 30 calls that must exit 2, TestUnreachable 17 that must exit 1.

--- a/cmd/catkindyke/commander/demo_test.go
+++ b/cmd/catkindyke/commander/demo_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +23,36 @@
 // TestUsage guards against commands that accept bad arguments silently.
 func TestUsage(t *testing.T) {
 	for _, args := range [][]string{
-		{"nothing"}, {"serve"}, {"serve", "-bogus"}, {"key"}, {"key", "grant", "one"}, {"lookup"}, {"demo", "extra"}, {"check"},
+		{},
+		{"nothing"},
+		{"serve"},
+		{"serve", "-bogus"},
+		{"serve", "-name", "a", "-region", "r", "-availability-zone", "z", "-store", "http://127.0.0.1:1"},
+		{"demo", "extra"},
+		{"demo", "-hosts", "0"},
+		{"demo", "-duration", "soon"},
+		{"check"},
+		{"diff"},
+		{"apply"},
+		{"apply", "-expect-version", "-2", "x"},
+		{"apply", "-wait", "-1s", "x"},
+		{"key"},
+		{"key", "grant", "one"},
+		{"key", "withdraw"},
+		{"key", "list", "extra"},
+		{"key", "steal"},
+		{"blocks"},
+		{"blocks", "apply"},
+		{"snapshot"},
+		{"snapshot", "save"},
+		{"snapshot", "diff", "one"},
+		{"status", "extra"},
+		{"explain"},
+		{"lookup"},
+		{"lookup", "a", "b"},
+		{"emulate"},
+		{"emulate", "platform", "-reads", "-1"},
+		{"emulate", "backend", "-slots", "0"},
 	} {
 		t.Run(strings.Join(args, "_"), func(t *testing.T) {
 			var out, errOut bytes.Buffer
@@ -35,6 +66,46 @@
 	}
 }
 
+// TestUnreachable guards against commands that hang, or seem to succeed, when
+// the store or the host that they ask does not answer.
+func TestUnreachable(t *testing.T) {
+	const nobody = "127.0.0.1:1"
+	t.Setenv(EnvName("store"), "http://"+nobody)
+	t.Setenv(EnvName("operator"), nobody)
+	t.Setenv(EnvName("address"), nobody)
+	file := filepath.Join(t.TempDir(), "file")
+	assertNoError(t, os.WriteFile(file, []byte("10.0.0.0/8 lake\n"), 0o600), "write file")
+	for _, args := range [][]string{
+		{"check", "no-such-file"},
+		{"diff", "no-such-file"},
+		{"apply", "no-such-file"},
+		{"key", "grant", "lakes", "a"},
+		{"key", "withdraw", "lakes", "a"},
+		{"key", "list"},
+		{"drain", "region", "fyn"},
+		{"undrain", "region", "fyn"},
+		{"drain", "-lost", "region", "fyn"},
+		{"blocks", "apply", file},
+		{"snapshot", "save", file},
+		{"snapshot", "diff", file, file},
+		{"status"},
+		{"explain", "dispatch"},
+		{"lookup", "dispatch"},
+		{"emulate", "platform", "-address", "256.0.0.1:0"},
+		{"emulate", "backend", "-address", "256.0.0.1:0"},
+	} {
+		t.Run(strings.Join(args[:min(2, len(args))], "_"), func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			if got := New(&out, &errOut).Run(t.Context(), args); got != exitFailure {
+				t.Errorf("exit status %d, want %d; printed %q", got, exitFailure, errOut.String())
+			}
+			if errOut.Len() == 0 {
+				t.Error("nothing printed")
+			}
+		})
+	}
+}
+
 func assertNoError(t *testing.T, err error, step string) {
 	t.Helper()
 	if err != nil {
--- a/cmd/catkindyke/commander/emulate.go
+++ b/cmd/catkindyke/commander/emulate.go
@@ -30,7 +30,10 @@
 	return c.command(ffcli.Command{
 		Name: "platform", ShortUsage: "catkindyke emulate platform [flags]",
 		ShortHelp: "Serves the object API and the host list from memory.", FlagSet: fs,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 || *reads < 0 || *writes < 0 {
+				return usageError("emulate platform takes no arguments and no negative budget")
+			}
 			return c.serveHTTP(ctx, *address, emulator.NewPlatform(emulator.Budget{ReadsPerSecond: *reads, WritesPerSecond: *writes}))
 		},
 	})
@@ -45,7 +48,10 @@
 	return c.command(ffcli.Command{
 		Name: "backend", ShortUsage: "catkindyke emulate backend [flags]",
 		ShortHelp: "Serves as a backend server that echoes each request.", FlagSet: fs,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 || *slots < 1 || *serviceTime < 0 {
+				return usageError("emulate backend takes no arguments, at least 1 slot and no negative service time")
+			}
 			return c.serveHTTP(ctx, *address, emulator.NewBackend(emulator.BackendConfig{Name: *name, ServiceTime: *serviceTime, Slots: *slots}))
 		},
 	})
--- a/cmd/catkindyke/commander/key.go
+++ b/cmd/catkindyke/commander/key.go
@@ -141,7 +141,10 @@
 	return c.command(ffcli.Command{
 		Name: "list", ShortUsage: "catkindyke key list [flags]",
 		ShortHelp: "Lists workspaces and labels of the granted keys.", FlagSet: fs,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError("key list takes no arguments, got %q", args[0])
+			}
 			_, content, err := publisher.New(newStore(*store)).Read(ctx, replicator.Keys)
 			if err != nil {
 				return err
--- a/cmd/catkindyke/commander/status.go
+++ b/cmd/catkindyke/commander/status.go
@@ -101,6 +101,8 @@
 			state = "unreachable"
 		case !one.Ready:
 			state = "not ready"
+		case one.Metrics["planner"] == 1:
+			state = "live, plans"
 		}
 		v := h.Versions
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d ms\t%d\t%d ms\t%d\t%.1f\t%.1f\n", h.Name, h.Region, h.AvailabilityZone, state,
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -16,6 +16,7 @@
 	"catkindyke/pkg/forwarder"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/snapshotter"
+	"catkindyke/pkg/tracer"
 )
 
 const (
@@ -305,6 +306,7 @@
 	resp, err := h.cfg.Dial(ctx, a.owner.PeerAddress).Acquire(ctx, &schema.AcquireRequest{
 		Host: h.cfg.Name, Incarnation: h.slots.incarnation, PermitId: a.id, Service: a.service,
 		Workspace: a.workspace, DeadlineMs: uint64(left), Exclude: a.exclude,
+		Traceparent: tracer.Inject(ctx),
 	})
 	return dispatcher.Decision{
 		ID: a.id, Granted: resp.GetGranted(), Reason: resp.GetRefusal(), RetryAfter: clock.Millis(resp.GetRetryAfterMs()),
--- a/pkg/runner/fleet_test.go
+++ b/pkg/runner/fleet_test.go
@@ -20,6 +20,7 @@
 	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/storeclient"
+	"catkindyke/pkg/tracer"
 )
 
 // fleet is a deployment in memory, in the virtual time of a synctest bubble.
@@ -30,8 +31,10 @@
 	backends map[string]*emulator.Backend
 	hosts    map[string]*Host
 	places   map[string]emulator.Place
-	store    *storeclient.Client
-	pub      *publisher.Publisher
+	// tracing is used by the hosts that start.
+	tracing tracer.Config
+	store   *storeclient.Client
+	pub     *publisher.Publisher
 	// slowLeaving is the state of the slow server; slowRuns and slowLast count its requests and date the last.
 	slowLeaving        atomic.Bool
 	slowRuns, slowLast atomic.Int64
@@ -47,9 +50,16 @@
 // withFleet builds hosts spread over two regions with two zones each, runs f
 // in virtual time and stops everything.
 func withFleet(t *testing.T, hosts int, f func(*fleet)) {
+	t.Helper()
+	withTracedFleet(t, hosts, tracer.Config{}, f)
+}
+
+// withTracedFleet is withFleet with spans that go to an exporter.
+func withTracedFleet(t *testing.T, hosts int, tracing tracer.Config, f func(*fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t)
+		fl.tracing = tracing
 		defer synctest.Wait()
 		defer fl.killAll()
 		for n := range hosts {
@@ -115,7 +125,7 @@
 	fl.t.Helper()
 	h, err := Start(Config{
 		Name: name, Region: at.Region, AvailabilityZone: at.AvailabilityZone, StoreURL: storeURL, Seeds: seeds,
-		CallerAddress: name + ":1", PeerAddress: name + ":2", Log: logger.Discard(),
+		CallerAddress: name + ":1", PeerAddress: name + ":2", Log: logger.Discard(), Tracing: fl.tracing,
 		StoreTransport: fl.network.Transport(at), BackendTransport: fl.network.Transport(at), Dial: fl.network.Peer(at),
 	})
 	assertNoError(fl.t, err, "start "+name)
--- a/pkg/runner/permits.go
+++ b/pkg/runner/permits.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/dispatcher"
 	"catkindyke/pkg/schema"
+	"catkindyke/pkg/tracer"
 )
 
 // reasonWaiting answers a call whose request keeps its place in the queue; the entry host asks again.
@@ -21,6 +24,8 @@
 
 // Acquire implements schema.DRPCPeerServer.
 func (p *peerCore) Acquire(ctx context.Context, req *schema.AcquireRequest) (*schema.AcquireResponse, error) {
+	ctx, span := p.tracing.Tracer().Start(tracer.Extract(ctx, req.GetTraceparent()), "owner", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	dec := p.ask(ctx, dispatcher.Request{
 		Host: req.GetHost(), Incarnation: req.GetIncarnation(), ID: req.GetPermitId(),
 		Service: req.GetService(), Workspace: req.GetWorkspace(), Exclude: req.GetExclude(),
--- a/pkg/tracer/tracer.go
+++ b/pkg/tracer/tracer.go
@@ -28,12 +28,29 @@
 // Provider makes tracers and flushes spans when it is shut down.
 type Provider struct {
 	tracer   trace.Tracer
+	flush    func(context.Context) error
 	shutdown func(context.Context) error
 }
 
 // Propagator carries the span context in the W3C traceparent header.
 var Propagator propagation.TextMapPropagator = propagation.TraceContext{}
 
+// traceparent is the name under which the propagator keeps the span context.
+const traceparent = "traceparent"
+
+// Inject returns the span context of ctx for a message between hosts, empty
+// when there is none.
+func Inject(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	Propagator.Inject(ctx, carrier)
+	return carrier[traceparent]
+}
+
+// Extract returns ctx with the span context that a message carries.
+func Extract(ctx context.Context, value string) context.Context {
+	return Propagator.Extract(ctx, propagation.MapCarrier{traceparent: value})
+}
+
 // New returns a provider for the configuration.
 func New(ctx context.Context, cfg Config) (*Provider, error) {
 	exporter := cfg.Exporter
@@ -45,7 +62,8 @@
 		}
 	}
 	if exporter == nil {
-		return &Provider{tracer: otel.Tracer("catkindyke"), shutdown: func(context.Context) error { return nil }}, nil
+		nothing := func(context.Context) error { return nil }
+		return &Provider{tracer: otel.Tracer("catkindyke"), flush: nothing, shutdown: nothing}, nil
 	}
 	tp := sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
@@ -55,7 +73,7 @@
 			attribute.String("host.name", cfg.Host),
 		)),
 	)
-	return &Provider{tracer: tp.Tracer("catkindyke"), shutdown: tp.Shutdown}, nil
+	return &Provider{tracer: tp.Tracer("catkindyke"), flush: tp.ForceFlush, shutdown: tp.Shutdown}, nil
 }
 
 // Tracer returns the tracer of the host.
@@ -63,6 +81,11 @@
 	return p.tracer
 }
 
+// Flush sends the spans that wait.
+func (p *Provider) Flush(ctx context.Context) error {
+	return p.flush(ctx)
+}
+
 // Shutdown sends the spans that wait and stops the provider.
 func (p *Provider) Shutdown(ctx context.Context) error {
 	return p.shutdown(ctx)
