Fetch only documents of known kinds from peers

Cause: while hosts of two versions run, a kind that the older one does not know has version 0 there, so it would be fetched at each heartbeat and refused.

--- a/pkg/controller/peers.go
+++ b/pkg/controller/peers.go
@@ -88,7 +88,9 @@
 		c.publish()
 	}
 	c.noticeBlocks(ctx, info)
-	for kind, version := range info.GetVersions() {
+	// Kinds that this version does not know are left to hosts that do.
+	for _, kind := range replicator.Kinds {
+		version := info.GetVersions()[kind]
 		if version > c.docs.Version(kind) && !c.fetching[kind] {
 			c.fetching[kind] = true
 			go c.fetch(context.WithoutCancel(ctx), info.GetPeerAddress(), kind, version)
