Share one wait and one watch loop, and drop a dead counter

Cause: the read-through found the same wait that ends with the context three times as a function and three times written out, the loop that follows an object in the store twice, and a counter of requests in flight that nothing reads since the runner counts them for planned stops. Change: clock.Sleep serves controller, publisher, runner and player; controller.watch follows heads and the ledger; forwarder.InFlight is gone from the path of each request.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -23,6 +24,22 @@
 	return Millis(d / time.Millisecond)
 }
 
+// Sleep waits for d or until the context ends, and reports whether the context
+// still runs.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Clock tells the time through a function, so that tests can replace it.
 type Clock struct {
 	now func() Millis
--- a/pkg/controller/blocks.go
+++ b/pkg/controller/blocks.go
@@ -68,7 +68,7 @@
 			after = obj.Version
 			c.offerBlocks(obj.Value)
 		case !errors.Is(err, storeclient.ErrNotModified):
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 		}
 	}
 }
@@ -181,7 +181,7 @@
 			round++
 		}
 		if c.loading(ctx) {
-			pause(ctx, wait.Duration())
+			clock.Sleep(ctx, wait.Duration())
 		}
 	}
 }
--- a/pkg/controller/controller.go
+++ b/pkg/controller/controller.go
@@ -116,9 +116,10 @@
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
 	for _, kind := range replicator.Kinds {
-		go c.watchDocument(ctx, kind)
+		go c.watch(ctx, replicator.HeadName(kind), func(obj storeclient.Object) { c.loadFromStore(ctx, kind, obj.Value) })
 	}
-	go c.watchLedger(ctx)
+	// In calm times a watch is one waiting call, so following the ledger costs few calls.
+	go c.watch(ctx, ledgerName, func(obj storeclient.Object) { c.ledgerRead(ctx, obj) })
 	go c.pollHeads(ctx)
 	go c.pollHosts(ctx)
 	go c.watchBlocks(ctx)
--- a/pkg/controller/documents.go
+++ b/pkg/controller/documents.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/limiter"
 	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/router"
@@ -28,21 +29,21 @@
 	hostsInterval = 2 * time.Second
 )
 
-// watchDocument follows one head in the store.
-func (c *Controller) watchDocument(ctx context.Context, kind string) {
+// watch follows an object in the store and gives each change to handle.
+func (c *Controller) watch(ctx context.Context, name string, handle func(storeclient.Object)) {
 	var after uint64
 	for ctx.Err() == nil {
 		sent := c.cfg.Clock.Now()
-		obj, err := c.cfg.Store.Watch(ctx, replicator.HeadName(kind), after, watchWait)
+		obj, err := c.cfg.Store.Watch(ctx, name, after, watchWait)
 		switch {
 		case err == nil:
 			after = obj.Version
 			c.storeContact(sent)
-			c.loadFromStore(ctx, kind, obj.Value)
+			handle(obj)
 		case errors.Is(err, storeclient.ErrNotModified):
 			c.storeContact(sent)
 		default:
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 		}
 	}
 }
@@ -56,7 +57,7 @@
 			c.storeContact(sent)
 			c.readHeads(ctx, heads)
 		}
-		pause(ctx, pollInterval)
+		clock.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -192,15 +193,6 @@
 				}
 			})
 		}
-		pause(ctx, hostsInterval)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		clock.Sleep(ctx, hostsInterval)
 	}
 }
--- a/pkg/controller/plans.go
+++ b/pkg/controller/plans.go
@@ -33,7 +33,7 @@
 func (c *Controller) runPlans(ctx context.Context) {
 	l := &planLoop{c: c, planner: planner.New(), pub: publisher.New(c.cfg.Store), lease: newPlannerLease(c.cfg)}
 	for ctx.Err() == nil {
-		pause(ctx, planRetry.Duration())
+		clock.Sleep(ctx, planRetry.Duration())
 		var view planView
 		if err := c.call(ctx, func() { view = c.planView(c.cfg.Clock.Now()) }); err != nil {
 			return
--- a/pkg/controller/shares.go
+++ b/pkg/controller/shares.go
@@ -112,27 +112,6 @@
 	return in
 }
 
-// watchLedger follows the ledger; in calm times this is one waiting call.
-func (c *Controller) watchLedger(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		sent := c.cfg.Clock.Now()
-		obj, err := c.cfg.Store.Watch(ctx, ledgerName, after, watchWait)
-		switch {
-		case err == nil:
-			after = obj.Version
-			c.storeContact(sent)
-			c.ledgerRead(ctx, obj)
-		case errors.Is(err, storeclient.ErrNotModified):
-			c.storeContact(sent)
-		case errors.Is(err, storeclient.ErrNotFound):
-			pause(ctx, pollInterval)
-		default:
-			pause(ctx, retryWait)
-		}
-	}
-}
-
 // readLedger reads the ledger once; it runs on the control goroutine.
 func (c *Controller) readLedger(ctx context.Context) {
 	if c.readingLedger {
@@ -238,7 +217,7 @@
 			return err
 		}
 		if member {
-			pause(ctx, 50*time.Millisecond)
+			clock.Sleep(ctx, 50*time.Millisecond)
 		}
 	}
 	return nil
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -102,10 +101,9 @@
 
 // Forwarder is the HTTP handler for callers' requests.
 type Forwarder struct {
-	cfg      Config
-	inFlight atomic.Int64
-	budget   RetryBudget
-	silence  *Silence
+	cfg     Config
+	budget  RetryBudget
+	silence *Silence
 	// fresh opens a connection for each request.
 	fresh http.RoundTripper
 	// opaque says that the transport does not tell which connections it uses, so
@@ -127,9 +125,6 @@
 	return f
 }
 
-// InFlight returns the number of requests that are being served.
-func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
-
 // exchange is the state of one request.
 type exchange struct {
 	w         http.ResponseWriter
@@ -160,8 +155,6 @@
 
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.inFlight.Add(1)
-	defer f.inFlight.Add(-1)
 	ctx := tracer.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := f.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	x := &exchange{w: w, r: r.WithContext(ctx), start: f.cfg.Clock.Now(), snap: f.cfg.Snapshot()}
--- a/pkg/player/callers.go
+++ b/pkg/player/callers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/emulator"
 	"catkindyke/pkg/forwarder"
 	"catkindyke/service/apiserver"
@@ -140,17 +141,17 @@
 func (p *Player) call(c *caller, name string, r *http.Request) (*httptest.ResponseRecorder, bool) {
 	h, err := p.host(name)
 	if err != nil || !p.isUp(h) {
-		sleep(p.ctx, 2*p.delay)
+		clock.Sleep(p.ctx, 2*p.delay)
 		return nil, false
 	}
 	if p.isCut(c.place, h.place) {
-		sleep(p.ctx, connectTimeout)
+		clock.Sleep(p.ctx, connectTimeout)
 		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callerTimeout)
 	defer cancel()
 	defer context.AfterFunc(h.ctx, cancel)()
-	sleep(ctx, p.delay)
+	clock.Sleep(ctx, p.delay)
 	if !p.isUp(h) {
 		return nil, false
 	}
@@ -158,7 +159,7 @@
 	r.RemoteAddr = "127.0.0.1:1"
 	rec := httptest.NewRecorder()
 	body, _ := r.Body.(*callerBody)
-	if !serveWhole(h.CallerHandler(), answer{rec, body}, r.WithContext(ctx)) || !sleep(ctx, p.delay) {
+	if !serveWhole(h.CallerHandler(), answer{rec, body}, r.WithContext(ctx)) || !clock.Sleep(ctx, p.delay) {
 		return nil, true
 	}
 	if p.isCut(h.place, c.place) {
@@ -300,7 +301,7 @@
 func (p *Player) stream(t Traffic, key string, regions []string, rng *rand.Rand, stream uint64) {
 	end := p.now() + t.For
 	for n := 0; ; n++ {
-		if !sleep(p.ctx, time.Duration(rng.ExpFloat64()/t.Rate*float64(time.Second))) || p.now() > end {
+		if !clock.Sleep(p.ctx, time.Duration(rng.ExpFloat64()/t.Rate*float64(time.Second))) || p.now() > end {
 			return
 		}
 		req := request{
--- a/pkg/player/deployment.go
+++ b/pkg/player/deployment.go
@@ -1,7 +1,6 @@
 package player
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"catkindyke/pkg/authenticator"
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/emulator"
 	"catkindyke/pkg/merger"
 	"catkindyke/pkg/parser"
@@ -269,7 +269,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), extra) {
+	if !clock.Sleep(r.Context(), extra) {
 		panic(http.ErrAbortHandler)
 	}
 	b.stand.ServeHTTP(w, r)
@@ -302,18 +302,3 @@
 	}
 	return false
 }
-
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/publisher/blocks.go
+++ b/pkg/publisher/blocks.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/locator"
 	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
@@ -89,7 +90,7 @@
 func (p *Publisher) writePiece(ctx context.Context, name string, content []byte) error {
 	var last error
 	for attempt := range pieceAttempts {
-		pause(ctx, pieceInterval<<(2*attempt))
+		clock.Sleep(ctx, pieceInterval<<(2*attempt))
 		_, err := p.store.Put(ctx, name, content, 0)
 		if errors.Is(err, storeclient.ErrConflict) {
 			err = p.repairPiece(ctx, name, content)
@@ -122,7 +123,7 @@
 	var err error
 	for try := range writeAttempts {
 		if try > 0 {
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 		}
 		_, err = p.store.Put(ctx, replicator.BlocksHead, value, ifVersion)
 		if err == nil {
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/replicator"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/storeclient"
@@ -115,7 +116,7 @@
 	var err error
 	for try := range writeAttempts {
 		if try > 0 {
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 		}
 		_, err = p.store.Put(ctx, replicator.HeadName(kind), value, ifVersion)
 		if err == nil {
@@ -165,15 +166,6 @@
 	return head, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func newAttemptID() string {
 	var b [16]byte
 	_, _ = rand.Read(b[:])
--- a/pkg/runner/acquire.go
+++ b/pkg/runner/acquire.go
@@ -188,10 +188,7 @@
 		if err == nil || !errors.Is(err, errNoOwner) {
 			return permit, err
 		}
-		select {
-		case <-time.After(patientWait):
-		case <-ctx.Done():
-		}
+		clock.Sleep(ctx, patientWait)
 	}
 	return permit, err
 }
--- a/pkg/runner/stop.go
+++ b/pkg/runner/stop.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"catkindyke/pkg/clock"
 )
 
 const (
@@ -80,16 +82,10 @@
 	// ones and a request that is sent at that moment would be lost.
 	h.work.closing.Store(true)
 	age := time.Duration(h.Snapshot().Config().GetSettings().GetLookupAgeMs()) * time.Millisecond
-	select {
-	case <-time.After(age + stopMargin):
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, age+stopMargin)
 	shutdown := make(chan error, 1)
 	go func() { shutdown <- h.caller.Shutdown(ctx) }()
-	select {
-	case <-time.After(admitTime):
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, admitTime)
 	handOver := h.controller.HandOver(ctx)
 	err := errors.Join(handOver, <-shutdown, h.work.wait(ctx))
 	h.Kill()
