--- a/cmd/catkindyke/commander/commander.go
+++ b/cmd/catkindyke/commander/commander.go
@@ -42,7 +42,7 @@
 		ShortUsage: "catkindyke <command> [flags] [arguments]",
 		ShortHelp:  "Steers traffic from callers to backend servers over a fleet of entry hosts.",
 		Subcommands: []*ffcli.Command{
-			c.serveCommand(), c.demoCommand(), c.checkCommand(), c.diffCommand(), c.applyCommand(),
+			c.serveCommand(), c.hostCommand(), c.demoCommand(), c.checkCommand(), c.diffCommand(), c.applyCommand(),
 			c.keyCommand(), c.blocksCommand(), c.drainCommand(), c.undrainCommand(), c.snapshotCommand(), c.statusCommand(),
 			c.explainCommand(), c.lookupCommand(), c.emulateCommand(),
 		},
--- /dev/null
+++ b/cmd/catkindyke/commander/host.go
@@ -0,0 +1,197 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/dialer"
+	"catkindyke/pkg/hoster"
+	"catkindyke/pkg/logger"
+	"catkindyke/pkg/meter"
+	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/schema"
+	"catkindyke/platform"
+	"catkindyke/service/peerserver"
+)
+
+const (
+	// lookupAge is the time for which callers keep a look-up answer. Shorter times
+	// move callers sooner from a host that fails; each halving doubles the look-ups.
+	lookupAge = 2 * clock.Second
+	// stopReserve is kept of the grace time of a stop for the end of the process.
+	stopReserve = 500 * time.Millisecond
+	// lingerTime is the part of a planned stop in which new connections are still
+	// accepted, because callers keep look-up answers.
+	lingerTime = 3 * time.Second
+	// memoryShare is the part of the memory limit that the Go runtime may use;
+	// buffers of the kernel take the rest.
+	memoryShare = 0.7
+	// hostHeaderBytes, hostHeaderTimeout and hostIdleTimeout bound callers before a
+	// configuration says more.
+	hostHeaderBytes   = 32 << 10
+	hostHeaderTimeout = 5 * time.Second
+	hostIdleTimeout   = 60 * time.Second
+)
+
+func (c *Commander) hostCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("host", flag.ContinueOnError)
+	level := fs.String("log-level", "info", "lowest level logged: debug, info, warn or error")
+	return c.command(ffcli.Command{
+		Name: "host", ShortUsage: "catkindyke host [flags]",
+		ShortHelp: "Runs one entry host on the platform until it is terminated.", FlagSet: fs,
+		LongHelp: "The settings come from the file that " + platform.SettingsVariable + " names; see docs/platform.md. " +
+			"An interrupt starts a planned stop in which no request is cut.",
+		Exec: func(ctx context.Context, args []string) error { return c.host(ctx, *level, args) },
+	})
+}
+
+func (c *Commander) host(ctx context.Context, level string, args []string) error {
+	if len(args) > 0 {
+		return usageError("host takes no arguments, got %q", args[0])
+	}
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return usageError("%v", err)
+	}
+	out := logger.NewAsync(c.stdout)
+	defer out.Close()
+	log, err := logger.New(logger.Config{Output: out, Level: level, Host: settings.Host})
+	if err != nil {
+		return usageError("%v", err)
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	return runHost(ctx, settings, log.For(logger.Traffic))
+}
+
+// runHost runs a host until the context ends and its planned stop is done.
+func runHost(ctx context.Context, settings platform.Settings, log zerolog.Logger) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	watchReloads(running, log)
+	dial := dialer.New(dialer.Config{})
+	clk := clock.NewBoot()
+	h := hoster.New(running, hoster.Config{
+		Name: settings.Host, Region: settings.Region, AvailabilityZone: settings.AvailabilityZone,
+		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
+		Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
+		Repeats:   rationer.RetryConfig{Ratio: settings.RepeatRatio, Window: settings.RepeatWindow, Slack: settings.RepeatSlack},
+		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: meter.New(),
+	})
+	client := platform.NewClient(settings.StoreAddress)
+	follower := platform.NewFollower(platform.FollowerConfig{
+		Client: client, Feed: h.Feed(), RegionOf: settings.RegionOf, Clock: clk, Log: log,
+	})
+	peer, err := peerserver.New(peerserver.Config{
+		Register: func(mux drpc.Mux) error { return schema.DRPCRegisterFleet(mux, h) },
+		LogError: func(err error) { log.Debug().Err(err).Msg("peer_connection_failed") },
+	})
+	if err != nil {
+		return err
+	}
+	peerListener, err := net.Listen("tcp", settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := peer.Serve(running, peerListener); err != nil && running.Err() == nil {
+			log.Error().Err(err).Msg("peer_listener_failed")
+		}
+	}()
+	go follower.Run(running)
+	go follower.Announce(running, settings.Host, settings.PeerAddress, settings.Region)
+	servers, err := listenHTTP(settings, h, log)
+	if err != nil {
+		return err
+	}
+	log.Info().Str("region", settings.Region).Str("zone", settings.AvailabilityZone).
+		Str("caller_address", settings.CallerAddress).Msg("host_started")
+	<-ctx.Done()
+	stopHost(settings, h, servers, log)
+	return nil
+}
+
+// watchReloads keeps SIGHUP from ending the process; a host reads its settings
+// once, and what changes while it runs comes from the store.
+func watchReloads(ctx context.Context, log zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-hup:
+				if _, err := platform.LoadSettings(); err != nil {
+					log.Error().Err(err).Msg("settings_unusable")
+					continue
+				}
+				log.Info().Msg("settings_read")
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// listenHTTP opens the listeners for callers, look-ups and readiness; the
+// first server returned is that of callers.
+func listenHTTP(settings platform.Settings, h *hoster.Host, log zerolog.Logger) ([]*http.Server, error) {
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{settings.CallerAddress, h.Steerer()},
+		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) })},
+		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready)},
+	}
+	var servers []*http.Server
+	for _, l := range handlers {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", l.address, err)
+		}
+		server := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: hostHeaderTimeout, IdleTimeout: hostIdleTimeout, MaxHeaderBytes: hostHeaderBytes,
+		}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				log.Error().Str("address", l.address).Err(err).Msg("listener_failed")
+			}
+		}()
+		servers = append(servers, server)
+	}
+	return servers, nil
+}
+
+// stopHost takes the host out of look-up answers, serves what still comes, and
+// ends when no request is left.
+func stopHost(settings platform.Settings, h *hoster.Host, servers []*http.Server, log zerolog.Logger) {
+	log.Info().Int64("grace_ms", int64(settings.StopGrace)).Msg("host_stopping")
+	began := time.Now()
+	h.Leave()
+	grace := settings.StopGrace.Duration() - stopReserve
+	time.Sleep(min(lingerTime, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
+	defer cancel()
+	if err := servers[0].Shutdown(ctx); err != nil {
+		log.Warn().Err(err).Msg("requests_cut")
+	}
+	log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("host_stopped")
+}
--- /dev/null
+++ b/pkg/cataloger/cataloger.go
@@ -0,0 +1,219 @@
+// Package cataloger holds the routes, services and workspaces of one
+// configuration version and finds the entry that applies to a request.
+package cataloger
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"catkindyke/pkg/clock"
+)
+
+// ErrInvalid says that a configuration cannot be put in force.
+var ErrInvalid = errors.New("invalid configuration")
+
+// Repeat says how often a request may run.
+type Repeat int
+
+// The kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Repeat = iota
+	// Once requests run at most once for each request of a caller.
+	Once
+	// Upload requests have large bodies and run at most once.
+	Upload
+)
+
+// Part is one service of a weighted split.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Route describes how requests under a host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Repeat Repeat
+	// Parts are the services with their weights; a plain route has one.
+	Parts []Part
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout clock.Millis
+	// Objective is the time within which an answer has its full value.
+	Objective clock.Millis
+	// Attempts is the largest number of backend servers for one request.
+	Attempts int
+	// Rank orders requests when there is no room for all; 0 is the most urgent.
+	Rank int
+	// Open routes need no key.
+	Open bool
+	// Sticky says that a backend server handles an object faster that it has handled recently.
+	Sticky bool
+	// HomeRegions are the only regions that may serve the route; all when empty.
+	HomeRegions []string
+}
+
+// MayRepeat reports whether a request may run more than once.
+func (r *Route) MayRepeat() bool { return r.Repeat == Idempotent }
+
+// Service describes a group of backend servers.
+type Service struct {
+	Name       string
+	HealthPath string
+	// Connections is the largest number of open connections to one backend server from all hosts.
+	Connections int
+	// ColdTime is the time for which a backend server stays cold after its start.
+	ColdTime clock.Millis
+	// ColdRate is the number of requests a second that a cold backend server bears.
+	ColdRate float64
+}
+
+// Workspace is a customer's tenant.
+type Workspace struct {
+	Name string
+	Keys []string
+	Rank int
+	// Rate and Burst bound the requests of the whole fleet; 0 means no limit.
+	Rate, Burst float64
+	HomeRegions []string
+}
+
+// Limits bound what a caller may send, and how slowly.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout clock.Millis
+	IdleTimeout   clock.Millis
+}
+
+// Config is the content of one configuration version.
+type Config struct {
+	Version    uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Catalog answers questions about one configuration. It does not change.
+type Catalog struct {
+	cfg        Config
+	byHost     map[string][]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+	byKey      map[string]*Workspace
+}
+
+// New checks a configuration and builds its catalog.
+func New(cfg Config) (*Catalog, error) {
+	c := &Catalog{
+		cfg: cfg, byHost: make(map[string][]*Route), services: make(map[string]*Service),
+		workspaces: make(map[string]*Workspace), byKey: make(map[string]*Workspace),
+	}
+	for i := range cfg.Services {
+		c.services[cfg.Services[i].Name] = &c.cfg.Services[i]
+	}
+	for i := range cfg.Routes {
+		if err := c.addRoute(&c.cfg.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, routes := range c.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range cfg.Workspaces {
+		if err := c.addWorkspace(&c.cfg.Workspaces[i]); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Catalog) addRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("%w: route %q: prefix %q must begin and end with a slash", ErrInvalid, r.Name, r.Prefix)
+	}
+	if r.Attempts < 1 || r.Timeout <= 0 {
+		return fmt.Errorf("%w: route %q: attempts %d and timeout %d ms must be above 0", ErrInvalid, r.Name, r.Attempts, r.Timeout)
+	}
+	if len(r.Parts) == 0 {
+		return fmt.Errorf("%w: route %q names no service", ErrInvalid, r.Name)
+	}
+	for _, p := range r.Parts {
+		if c.services[p.Service] == nil {
+			return fmt.Errorf("%w: route %q: unknown service %q", ErrInvalid, r.Name, p.Service)
+		}
+	}
+	host := strings.ToLower(r.Host)
+	c.byHost[host] = append(c.byHost[host], r)
+	return nil
+}
+
+func (c *Catalog) addWorkspace(w *Workspace) error {
+	c.workspaces[w.Name] = w
+	for _, key := range w.Keys {
+		if other := c.byKey[key]; other != nil && other != w {
+			return fmt.Errorf("%w: workspaces %q and %q share a key", ErrInvalid, other.Name, w.Name)
+		}
+		c.byKey[key] = w
+	}
+	return nil
+}
+
+// Version returns the configuration's version.
+func (c *Catalog) Version() uint64 { return c.cfg.Version }
+
+// Limits returns the bounds on callers.
+func (c *Catalog) Limits() Limits { return c.cfg.Limits }
+
+// NeedsKeys reports whether requests on routes that are not open need a key.
+func (c *Catalog) NeedsKeys() bool { return len(c.cfg.Workspaces) > 0 }
+
+// Workspaces returns all workspaces.
+func (c *Catalog) Workspaces() []Workspace { return c.cfg.Workspaces }
+
+// Services returns all services.
+func (c *Catalog) Services() []Service { return c.cfg.Services }
+
+// Service returns a service, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Workspace returns the workspace that holds a key, or nil.
+func (c *Catalog) Workspace(key string) *Workspace { return c.byKey[key] }
+
+// HasHost reports whether a route is declared for a host.
+func (c *Catalog) HasHost(host string) bool { return len(c.byHost[strings.ToLower(host)]) > 0 }
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (c *Catalog) Match(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Homes returns the regions in which a request may be served; nil means all.
+// Where route and workspace both have homes, both apply, which may leave none.
+func Homes(r *Route, w *Workspace) []string {
+	switch {
+	case len(r.HomeRegions) == 0 && (w == nil || len(w.HomeRegions) == 0):
+		return nil
+	case w == nil || len(w.HomeRegions) == 0:
+		return r.HomeRegions
+	case len(r.HomeRegions) == 0:
+		return w.HomeRegions
+	}
+	both := []string{}
+	for _, region := range r.HomeRegions {
+		if slices.Contains(w.HomeRegions, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point on a host's monotonic clock, or a span, in milliseconds.
@@ -78,3 +80,17 @@
 	defer m.mu.Unlock()
 	m.now += d
 }
+
+// NewBoot returns a clock that also counts the time for which the host was
+// suspended. Ages of leases and of knowledge are measured with it, because a
+// monotonic clock stands still during a suspension.
+func NewBoot() Clock {
+	return Clock{now: func() Millis {
+		var ts unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+			// The kernel has had this clock since 2.6.39, so that an error is a defect of the platform.
+			panic(err)
+		}
+		return Millis(ts.Nano() / int64(time.Millisecond))
+	}}
+}
--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -60,6 +60,12 @@
 	return schema.NewDRPCPeerClient(conn)
 }
 
+// Fleet returns a client of the host's exchange of reports; see Peer.
+func (d *Dialer) Fleet(ctx context.Context, address string) schema.DRPCFleetClient {
+	var conn drpc.Conn = d.pool.Get(ctx, address, d.dial)
+	return schema.NewDRPCFleetClient(conn)
+}
+
 // Close closes the idle connections.
 func (d *Dialer) Close() error {
 	return d.pool.Close()
--- /dev/null
+++ b/pkg/gossiper/gossiper.go
@@ -0,0 +1,211 @@
+// Package gossiper exchanges reports with the other hosts.
+//
+// Each pair of hosts exchanges over one call, which the host with the lower
+// name makes; the other calls too when it has not heard anything for a while.
+package gossiper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+)
+
+const (
+	// callTimeout is several round trips between regions. A connection that went
+	// silent is closed after it.
+	callTimeout = 500 * time.Millisecond
+	// patience is the time after which a host with the higher name calls too.
+	patience clock.Millis = 700
+	// maxBackoff is the longest pause between calls to a host that does not answer.
+	maxBackoff = 2 * time.Second
+)
+
+// Config configures a gossiper.
+type Config struct {
+	// Name and Address are those of this host; Address is its peer address.
+	Name, Address string
+	// Near and Far are the pauses between exchanges with hosts of the same region
+	// and with hosts of other regions.
+	Near, Far time.Duration
+	// Region is this host's.
+	Region string
+	// Report makes the report that is sent.
+	Report func() *schema.HostReport
+	// Receive takes the report of another host. trip is the measured round trip,
+	// 0 when the other host made the call.
+	Receive func(report *schema.HostReport, trip clock.Millis)
+	// Dial returns a client of the host at a peer address.
+	Dial func(ctx context.Context, address string) schema.DRPCFleetClient
+	// Clock measures silence.
+	Clock clock.Clock
+	// Log receives a line for each host that is lost or found.
+	Log zerolog.Logger
+}
+
+// Gossiper talks to all known hosts.
+type Gossiper struct {
+	cfg   Config
+	ctx   context.Context
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is a host by its peer address.
+type peer struct {
+	name, region string
+	heard        clock.Millis
+	lost         bool
+	cancel       context.CancelFunc
+	// wake ends a pause early.
+	wake chan struct{}
+}
+
+// New returns a gossiper that runs until the context ends.
+func New(ctx context.Context, cfg Config) *Gossiper {
+	return &Gossiper{cfg: cfg, ctx: ctx, peers: make(map[string]*peer)}
+}
+
+// AddPeer begins to exchange reports with the host at a peer address.
+func (g *Gossiper) AddPeer(address string) {
+	if address == "" || address == g.cfg.Address {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.peers[address] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(g.ctx)
+	p := &peer{heard: g.cfg.Clock.Now(), cancel: cancel, wake: make(chan struct{}, 1)}
+	g.peers[address] = p
+	go g.talk(ctx, address, p)
+}
+
+// RemovePeer ends the exchange with the host at a peer address.
+func (g *Gossiper) RemovePeer(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.peers[address]; p != nil {
+		p.cancel()
+		delete(g.peers, address)
+	}
+}
+
+// Peers returns the peer addresses of the hosts that were heard lately.
+func (g *Gossiper) Peers() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for address, p := range g.peers {
+		if p.name != "" && !p.lost {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Wake makes all hosts hear from this one at once.
+func (g *Gossiper) Wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Exchange answers the call of another host.
+func (g *Gossiper) Exchange(_ context.Context, report *schema.HostReport) (*schema.HostReport, error) {
+	g.AddPeer(report.GetPeerAddress())
+	g.received(report.GetPeerAddress(), report, 0)
+	return g.cfg.Report(), nil
+}
+
+func (g *Gossiper) received(address string, report *schema.HostReport, trip clock.Millis) {
+	g.mu.Lock()
+	found := false
+	if p := g.peers[address]; p != nil {
+		p.heard, p.name, p.region = g.cfg.Clock.Now(), report.GetName(), report.GetRegion()
+		found, p.lost = p.lost, false
+	}
+	g.mu.Unlock()
+	if found {
+		g.cfg.Log.Info().Str("host", report.GetName()).Str("address", address).Msg("host_regained")
+	}
+	g.cfg.Receive(report, trip)
+}
+
+// talk exchanges reports with one host until the context ends.
+func (g *Gossiper) talk(ctx context.Context, address string, p *peer) {
+	failures := 0
+	for ctx.Err() == nil {
+		if g.myTurn(p) {
+			if g.call(ctx, address) {
+				failures = 0
+			} else {
+				failures++
+				g.noteLoss(address, p)
+			}
+		}
+		g.pause(ctx, g.interval(p, failures), p)
+	}
+}
+
+func (g *Gossiper) myTurn(p *peer) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return p.name == "" || g.cfg.Name < p.name || g.cfg.Clock.Now()-p.heard > patience
+}
+
+func (g *Gossiper) interval(p *peer, failures int) time.Duration {
+	g.mu.Lock()
+	near := p.region == g.cfg.Region
+	g.mu.Unlock()
+	pause := g.cfg.Far
+	if near {
+		pause = g.cfg.Near
+	}
+	return min(pause<<min(failures, 5), maxBackoff)
+}
+
+func (g *Gossiper) call(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := g.cfg.Clock.Now()
+	report, err := g.cfg.Dial(ctx, address).Exchange(ctx, g.cfg.Report())
+	if err != nil {
+		g.cfg.Log.Debug().Str("address", address).Err(err).Msg("exchange_failed")
+		return false
+	}
+	g.received(address, report, max(1, g.cfg.Clock.Now()-sent))
+	return true
+}
+
+func (g *Gossiper) noteLoss(address string, p *peer) {
+	g.mu.Lock()
+	silent := g.cfg.Clock.Now() - p.heard
+	lost := !p.lost && silent > patience
+	p.lost = p.lost || lost
+	name := p.name
+	g.mu.Unlock()
+	if lost {
+		g.cfg.Log.Warn().Str("host", name).Str("address", address).Int64("silent_ms", int64(silent)).Msg("host_lost")
+	}
+}
+
+func (g *Gossiper) pause(ctx context.Context, d time.Duration, p *peer) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-p.wake:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/hoster/feed.go
@@ -0,0 +1,197 @@
+package hoster
+
+import (
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/cataloger"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/registrar"
+)
+
+// Feed takes what the platform's store holds and how it changes.
+type Feed struct {
+	// Config takes a configuration.
+	Config func(cfg cataloger.Config)
+	// Contact takes a time at which the host knew the newest configuration.
+	Contact func(asOf clock.Millis)
+	// Lost notes that the store did not answer.
+	Lost func(err error)
+	// Servers takes the list of backend servers, Server and ServerGone one change
+	// of it, and ServersLost notes that changes may have been missed.
+	Servers     func(list []registrar.Server)
+	Server      func(s registrar.Server)
+	ServerGone  func(id string)
+	ServersLost func()
+	// Evacuations takes the zones that get no requests, Evacuation one change.
+	Evacuations func(zones []string)
+	Evacuation  func(zone string, active bool)
+	// Host takes the entry of a host, and HostsKnown notes that all were given.
+	Host       func(name, peerAddress string, gone bool)
+	HostsKnown func()
+}
+
+// Feed returns the functions through which the host learns from the store.
+func (h *Host) Feed() Feed {
+	return Feed{
+		Config:  func(cfg cataloger.Config) { h.do(func() { h.setConfig(cfg) }) },
+		Contact: func(asOf clock.Millis) { h.do(func() { h.setContact(asOf) }) },
+		Lost:    func(err error) { h.do(func() { h.noteStoreLost(err) }) },
+		Servers: func(list []registrar.Server) {
+			h.do(func() {
+				h.registrar.Replace(list, h.cfg.Clock.Now())
+				h.read("servers")
+				h.publishServers()
+			})
+		},
+		Server: func(s registrar.Server) {
+			h.do(func() { h.registrar.Put(s, h.cfg.Clock.Now()); h.logServer(s); h.publishServers() })
+		},
+		ServerGone: func(id string) {
+			h.do(func() { h.registrar.Remove(id, h.cfg.Clock.Now()); h.logGone(id); h.publishServers() })
+		},
+		ServersLost: func() { h.do(func() { h.registrar.Lost(h.cfg.Clock.Now()) }) },
+		Evacuations: func(zones []string) { h.do(func() { h.setEvacuations(zones) }) },
+		Evacuation:  func(zone string, active bool) { h.do(func() { h.setEvacuation(zone, active); h.publishServers() }) },
+		Host:        func(name, address string, gone bool) { h.do(func() { h.setHost(name, address, gone) }) },
+		HostsKnown:  func() { h.do(func() { h.read("hosts") }) },
+	}
+}
+
+// read notes that a list was read for the first time.
+func (h *Host) read(list string) {
+	if !h.listsRead[list] {
+		h.listsRead[list] = true
+		h.known.Add(1)
+	}
+}
+
+func (h *Host) logServer(s registrar.Server) {
+	h.cfg.Log.Info().Str("server", s.ID).Str("address", s.Address).Str("zone", s.Zone).Bool("draining", s.Draining).
+		Int64("cold_left_ms", int64(s.ColdLeft)).Msg("server_entry")
+}
+
+func (h *Host) logGone(id string) {
+	h.cfg.Log.Info().Str("server", id).Msg("server_entry_removed")
+}
+
+func (h *Host) setConfig(cfg cataloger.Config) {
+	if old := h.catalog.Load(); old != nil && cfg.Version <= old.Version() {
+		return
+	}
+	c, err := cataloger.New(cfg)
+	if err != nil {
+		h.cfg.Log.Error().Uint64("config_version", cfg.Version).Err(err).Msg("configuration_refused")
+		return
+	}
+	limits := make(map[string]rationer.Limit)
+	for _, w := range c.Workspaces() {
+		limits[w.Name] = rationer.Limit{Rate: w.Rate, Burst: w.Burst}
+	}
+	h.mu.Lock()
+	h.rationer.SetLimits(limits, h.cfg.Clock.Now())
+	h.mu.Unlock()
+	h.catalog.Store(c)
+	h.cfg.Log.Info().Uint64("config_version", cfg.Version).Int("routes", len(cfg.Routes)).
+		Int("workspaces", len(cfg.Workspaces)).Msg("configuration_in_force")
+	h.publishServers()
+}
+
+func (h *Host) setContact(asOf clock.Millis) {
+	if int64(asOf) > h.contact.Load() {
+		h.contact.Store(int64(asOf))
+	}
+	if h.storeLost {
+		h.storeLost = false
+		h.cfg.Log.Info().Msg("store_regained")
+	}
+}
+
+func (h *Host) noteStoreLost(err error) {
+	if !h.storeLost {
+		h.storeLost = true
+		h.cfg.Log.Warn().Int64("contact_age_ms", int64(h.cfg.Clock.Now())-h.contact.Load()).Err(err).Msg("store_lost")
+	}
+}
+
+func (h *Host) setEvacuations(zones []string) {
+	active := make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		active[zone] = true
+		h.setEvacuation(zone, true)
+	}
+	for zone := range h.evacuated {
+		if !active[zone] {
+			h.setEvacuation(zone, false)
+		}
+	}
+	h.read("evacuations")
+	h.publishServers()
+}
+
+// setEvacuation notes that a zone gets no requests, or gets them again. Its
+// servers may have become cold meanwhile, and are treated so until they say otherwise.
+func (h *Host) setEvacuation(zone string, active bool) {
+	if h.evacuated[zone] == active {
+		return
+	}
+	h.cfg.Log.Info().Str("zone", zone).Bool("evacuated", active).Msg("evacuation")
+	if active {
+		h.evacuated[zone] = true
+		return
+	}
+	delete(h.evacuated, zone)
+	now := h.cfg.Clock.Now()
+	h.registrar.Chill(zone, func(service string) clock.Millis { return now + h.coldTime(service) })
+}
+
+func (h *Host) coldTime(service string) clock.Millis {
+	if c := h.catalog.Load(); c != nil {
+		if s := c.Service(service); s != nil {
+			return s.ColdTime
+		}
+	}
+	return 0
+}
+
+// publishServers gives the balancer the servers that may get requests.
+func (h *Host) publishServers() {
+	var list []balancer.Server
+	c := h.catalog.Load()
+	for _, e := range h.registrar.Entries() {
+		if e.Draining || h.evacuated[e.Zone] {
+			continue
+		}
+		rate := 0.0
+		if c != nil {
+			if s := c.Service(e.Service); s != nil {
+				rate = s.ColdRate
+			}
+		}
+		list = append(list, balancer.Server{
+			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Region: e.Region, Slots: e.Slots,
+			ColdUntil: e.ColdUntil, ColdRate: rate,
+		})
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.balancer.SetServers(list)
+}
+
+func (h *Host) setHost(name, address string, gone bool) {
+	if name == h.cfg.Name {
+		return
+	}
+	if gone {
+		if old := h.fleet.forget(name); old != "" {
+			h.gossip.RemovePeer(old)
+		}
+		return
+	}
+	if old := h.fleet.announce(name, address); old != "" && old != address {
+		h.gossip.RemovePeer(old)
+	}
+	h.gossip.AddPeer(address)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rationer.AddHost(name, h.cfg.Clock.Now())
+}
--- /dev/null
+++ b/pkg/hoster/fleet.go
@@ -0,0 +1,176 @@
+package hoster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+)
+
+const (
+	// liveTime is the time after a host's last report for which it counts as live;
+	// it spans several exchanges.
+	liveTime clock.Millis = 1500
+	// minNamed is the number of hosts below which a look-up answer also names
+	// hosts of other regions.
+	minNamed = 1
+)
+
+// member is what is known of another host.
+type member struct {
+	name, region, zone, caller, peer string
+	incarnation, sequence            uint64
+	ready, leaving                   bool
+	heard                            clock.Millis
+}
+
+// fleet holds the other hosts by name.
+type fleet struct {
+	cfg     Config
+	mu      sync.Mutex
+	members map[string]*member
+	// announced are the peer addresses in the store by name.
+	announced map[string]string
+}
+
+func newFleet(cfg Config) *fleet {
+	return &fleet{cfg: cfg, members: make(map[string]*member), announced: make(map[string]string)}
+}
+
+func (f *fleet) announce(name, address string) (old string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old = f.announced[name]
+	f.announced[name] = address
+	return old
+}
+
+func (f *fleet) forget(name string) (old string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old = f.announced[name]
+	delete(f.announced, name)
+	return old
+}
+
+// receive takes a report and reports whether it is newer than the last one.
+func (f *fleet) receive(r *schema.HostReport, now clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[r.GetName()]
+	if m == nil {
+		m = &member{name: r.GetName()}
+		f.members[r.GetName()] = m
+	}
+	if r.GetIncarnation() < m.incarnation || (r.GetIncarnation() == m.incarnation && r.GetSequence() <= m.sequence) {
+		return false
+	}
+	m.incarnation, m.sequence = r.GetIncarnation(), r.GetSequence()
+	m.region, m.zone, m.caller, m.peer = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
+	m.ready, m.leaving, m.heard = r.GetReady(), r.GetLeaving(), now
+	return true
+}
+
+// size is the number of live hosts, this one included.
+func (f *fleet) size(now clock.Millis) int {
+	n := 0
+	for _, hosts := range f.byRegion(now) {
+		n += hosts
+	}
+	return n
+}
+
+// byRegion counts the live hosts, this one included.
+func (f *fleet) byRegion(now clock.Millis) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]int{f.cfg.Region: 1}
+	for _, m := range f.members {
+		if now-m.heard <= liveTime {
+			out[m.region]++
+		}
+	}
+	return out
+}
+
+// lookup names the hosts that a caller in a region and zone should use: those
+// of its region that are ready, or all when there are none.
+func (f *fleet) lookup(region string, selfReady bool, now clock.Millis) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var near, far []string
+	add := func(r, address string) {
+		if r == region {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
+	}
+	if selfReady {
+		add(f.cfg.Region, f.cfg.CallerAddress)
+	}
+	for _, m := range f.members {
+		if m.ready && !m.leaving && now-m.heard <= liveTime {
+			add(m.region, m.caller)
+		}
+	}
+	slices.SortFunc(near, strings.Compare)
+	slices.SortFunc(far, strings.Compare)
+	if len(near) >= minNamed {
+		return near
+	}
+	return append(near, far...)
+}
+
+// Lookup names the hosts that a caller should use, and for how long.
+func (h *Host) Lookup(region, _ string) ([]string, clock.Millis) {
+	return h.fleet.lookup(region, h.Ready(), h.cfg.Clock.Now()), h.cfg.LookupAge
+}
+
+// report is what this host tells the others.
+func (h *Host) report() *schema.HostReport {
+	now := h.cfg.Clock.Now()
+	r := &schema.HostReport{
+		Name: h.cfg.Name, Incarnation: h.incarnation, Sequence: h.sequence.Add(1),
+		Region: h.cfg.Region, AvailabilityZone: h.cfg.AvailabilityZone,
+		CallerAddress: h.cfg.CallerAddress, PeerAddress: h.cfg.PeerAddress,
+		Ready: h.Ready(), Leaving: h.leaving.Load(),
+	}
+	if c := h.catalog.Load(); c != nil {
+		r.ConfigVersion = c.Version()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, n := range h.balancer.Loads() {
+		r.Loads = append(r.Loads, &schema.ServerLoad{ServerId: id, InFlight: uint32(n)})
+	}
+	for name, rate := range h.rationer.Demands(now) {
+		r.WorkspaceDemands = append(r.WorkspaceDemands, &schema.Rate{Name: name, PerS: rate})
+	}
+	return r
+}
+
+// receive takes the report of another host.
+func (h *Host) receive(r *schema.HostReport, trip clock.Millis) {
+	now := h.cfg.Clock.Now()
+	if !h.fleet.receive(r, now) {
+		return
+	}
+	loads := make(map[string]int, len(r.GetLoads()))
+	for _, l := range r.GetLoads() {
+		loads[l.GetServerId()] = int(l.GetInFlight())
+	}
+	demands := make(map[string]float64, len(r.GetWorkspaceDemands()))
+	for _, d := range r.GetWorkspaceDemands() {
+		demands[d.GetName()] = d.GetPerS()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.balancer.SetReport(r.GetName(), loads, now)
+	h.rationer.SetHost(r.GetName(), demands, now)
+	if trip > 0 {
+		h.balancer.SetTrip(r.GetRegion(), float64(trip))
+	}
+}
--- /dev/null
+++ b/pkg/hoster/hoster.go
@@ -0,0 +1,285 @@
+// Package hoster assembles one entry host that finds its configuration,
+// backend servers and fellow hosts at the platform.
+//
+// One goroutine owns the control state: the registrar, the evacuated zones and
+// the known hosts. It hands what placement needs to the balancer, which traffic
+// goroutines consult under a lock that is held for microseconds.
+package hoster
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/cataloger"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/courier"
+	"catkindyke/pkg/gossiper"
+	"catkindyke/pkg/meter"
+	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/registrar"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/steerer"
+)
+
+const (
+	// currentMargin is taken off the time limit for withdrawn keys: it covers the
+	// time between the check of a key and the request's arrival at a server.
+	currentMargin clock.Millis = 700
+	// silentMargin is added to the time limit for withdrawn keys, after which a
+	// host that is cut off has certainly stopped admitting requests.
+	silentMargin clock.Millis = 1500
+	// defaultSilent is used when no such limit is set.
+	defaultSilent = 10 * clock.Second
+	// tickInterval is the pause between rounds of housekeeping.
+	tickInterval = 100 * time.Millisecond
+	// sweepTicks is the number of rounds between sweeps of idle connections.
+	sweepTicks = 20
+	// eventQueue bounds the changes that wait for the control goroutine.
+	eventQueue = 256
+	// nearPause and farPause are the pauses between exchanges of reports. Placement
+	// misses what happened since the last one, so that near hosts, which share
+	// servers, exchange several times in the time of one request.
+	nearPause = 50 * time.Millisecond
+	farPause  = 100 * time.Millisecond
+)
+
+// Config configures a host.
+type Config struct {
+	// Name of the host, unique in the fleet.
+	Name string
+	// Region and AvailabilityZone of the host.
+	Region, AvailabilityZone string
+	// CallerAddress and PeerAddress are announced to callers and other hosts.
+	CallerAddress, PeerAddress string
+	// SeedPeers are peer addresses of some hosts, perhaps outdated.
+	SeedPeers []string
+	// Headers are the names of headers of requests.
+	Headers steerer.Headers
+	// WithdrawalLimit is the time after which a withdrawn key must not work; 0 for no limit.
+	WithdrawalLimit clock.Millis
+	// Repeats is the fleet's budget of requests sent once more.
+	Repeats rationer.RetryConfig
+	// LookupAge is the time for which callers keep a look-up answer.
+	LookupAge clock.Millis
+	// DialPeer returns a client of another host.
+	DialPeer func(ctx context.Context, address string) schema.DRPCFleetClient
+	// Clock must count suspensions of the host.
+	Clock clock.Clock
+	Log   zerolog.Logger
+	Meter *meter.Meter
+}
+
+// Host is a running entry host.
+type Host struct {
+	cfg         Config
+	incarnation uint64
+	events      chan func()
+	ctx         context.Context
+
+	// mu guards the decisions that traffic and control share.
+	mu       sync.Mutex
+	balancer *balancer.Balancer
+	rationer *rationer.Rationer
+	repeats  *rationer.Retries
+	splits   map[string]float64
+
+	catalog  atomic.Pointer[cataloger.Catalog]
+	contact  atomic.Int64
+	leaving  atomic.Bool
+	sequence atomic.Uint64
+	// known counts the lists that were read: servers, evacuations and hosts.
+	known   atomic.Int32
+	fleet   *fleet
+	courier *courier.Courier
+	gossip  *gossiper.Gossiper
+	steerer *steerer.Steerer
+
+	// The control goroutine alone uses these.
+	registrar  *registrar.Registrar
+	evacuated  map[string]bool
+	listsRead  map[string]bool
+	storeLost  bool
+	probing    map[string]bool
+	ticksSwept int
+}
+
+// New assembles a host. It runs until the context ends.
+func New(ctx context.Context, cfg Config) *Host {
+	silent := defaultSilent
+	if cfg.WithdrawalLimit > 0 {
+		silent = cfg.WithdrawalLimit + silentMargin
+	}
+	h := &Host{
+		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), events: make(chan func(), eventQueue), ctx: ctx,
+		balancer: balancer.New(balancer.Config{Region: cfg.Region, Zone: cfg.AvailabilityZone}),
+		rationer: rationer.New(rationer.Config{SilentLife: silent}),
+		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
+		fleet:     newFleet(cfg),
+		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
+		registrar: registrar.New(), evacuated: make(map[string]bool), listsRead: make(map[string]bool),
+		probing: make(map[string]bool),
+	}
+	h.contact.Store(-1)
+	h.gossip = gossiper.New(ctx, gossiper.Config{
+		Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, Near: nearPause, Far: farPause,
+		Report: h.report, Receive: h.receive, Dial: cfg.DialPeer, Clock: cfg.Clock, Log: cfg.Log,
+	})
+	h.steerer = steerer.New(steerer.Config{
+		Headers: cfg.Headers, Catalog: h.catalog.Load, Current: h.current, Admit: h.admit,
+		Choose: h.choose, Done: h.done, CountRequest: h.countRequest, AllowRepeat: h.allowRepeat,
+		Send: h.courier.Send, Pick: h.pick, Leaving: h.leaving.Load, Clock: cfg.Clock, Log: cfg.Log, Meter: cfg.Meter,
+	})
+	for _, address := range cfg.SeedPeers {
+		h.gossip.AddPeer(address)
+	}
+	go h.control()
+	return h
+}
+
+// Steerer returns the handler of callers' requests.
+func (h *Host) Steerer() *steerer.Steerer { return h.steerer }
+
+// Exchange answers the reports of other hosts.
+func (h *Host) Exchange(ctx context.Context, r *schema.HostReport) (*schema.HostReport, error) {
+	return h.gossip.Exchange(ctx, r)
+}
+
+// control runs the changes of control state one after the other.
+func (h *Host) control() {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case event := <-h.events:
+			event()
+		case <-tick.C:
+			h.tick()
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// do hands a change to the control goroutine and waits until it is made.
+func (h *Host) do(change func()) {
+	done := make(chan struct{})
+	select {
+	case h.events <- func() { change(); close(done) }:
+	case <-h.ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-h.ctx.Done():
+	}
+}
+
+// tick does the housekeeping that depends on time alone.
+func (h *Host) tick() {
+	now := h.cfg.Clock.Now()
+	if h.registrar.Expire(now) {
+		h.publishServers()
+	}
+	h.mu.Lock()
+	h.balancer.Expire(now)
+	h.balancer.SetHosts(h.fleet.byRegion(now))
+	h.rationer.Expire(now)
+	suspects := h.balancer.Unreachable()
+	h.mu.Unlock()
+	for _, s := range suspects {
+		h.probe(s)
+	}
+	if h.ticksSwept++; h.ticksSwept >= sweepTicks {
+		h.ticksSwept = 0
+		entries := h.registrar.Entries()
+		h.courier.Sweep(func(t courier.Target) bool {
+			e, ok := entries[t.ID]
+			return ok && e.Address == t.Address
+		})
+	}
+}
+
+// current reports whether the host knows the newest configuration well enough
+// to accept keys.
+func (h *Host) current() bool {
+	if h.cfg.WithdrawalLimit == 0 {
+		return true
+	}
+	asOf := clock.Millis(h.contact.Load())
+	return asOf >= 0 && h.cfg.Clock.Now()-asOf <= h.cfg.WithdrawalLimit-currentMargin
+}
+
+// listsNeeded is the number of lists that a host reads before it is ready.
+const listsNeeded = 3
+
+// Ready reports whether the host can serve callers.
+func (h *Host) Ready() bool {
+	return !h.leaving.Load() && h.catalog.Load() != nil && h.known.Load() >= listsNeeded && h.current()
+}
+
+// Leave begins a planned stop: other hosts stop naming this one to callers.
+func (h *Host) Leave() {
+	h.leaving.Store(true)
+	h.gossip.Wake()
+}
+
+func (h *Host) admit(workspace string) (bool, clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rationer.Admit(workspace, h.cfg.Clock.Now())
+}
+
+func (h *Host) choose(req balancer.Request) balancer.Choice {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.cfg.Clock.Now()
+	c := h.balancer.Choose(req, now)
+	if !c.Refused {
+		h.balancer.Start(c.Server.ID, now)
+	}
+	return c
+}
+
+func (h *Host) done(c balancer.Choice, class string, res balancer.Result, took clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.balancer.Done(c.Server.ID, class, c.Warm, c.Load, res, took, h.cfg.Clock.Now())
+}
+
+func (h *Host) countRequest(service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.repeats.Request(service, h.cfg.Clock.Now())
+}
+
+func (h *Host) allowRepeat(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.cfg.Clock.Now()
+	return h.repeats.Allow(service, h.fleet.size(now), now)
+}
+
+// goldenRatio steps evenly through the unit interval, so that every short run
+// of requests has close to the weights' shares.
+const goldenRatio = 0.6180339887498949
+
+// pick returns the next point of a route's low-discrepancy sequence.
+func (h *Host) pick(route string) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v, ok := h.splits[route]
+	if !ok {
+		v = rand.Float64()
+	}
+	if v += goldenRatio; v >= 1 {
+		v--
+	}
+	h.splits[route] = v
+	return v
+}
--- /dev/null
+++ b/pkg/rationer/rationer.go
@@ -0,0 +1,187 @@
+// Package rationer divides fleet-wide rates among hosts. It is pure: the
+// caller gives the time and serializes the calls.
+//
+// Each host admits a part of a workspace's rate. The parts follow the demand
+// that the hosts tell each other. A host that falls silent keeps its part until
+// it has certainly stopped admitting, because it may be cut off and still serve.
+package rationer
+
+import (
+	"math"
+
+	"catkindyke/pkg/clock"
+)
+
+const (
+	// equalPart is the part of each rate that is divided equally, so that a host
+	// with new callers can begin.
+	equalPart = 0.15
+	// demandLife is the time over which a host's demand is averaged.
+	demandLife clock.Millis = 1500
+	// startTokens is the part of its burst that a host has when it starts: a
+	// predecessor of the same name may have spent the rest.
+	startTokens = 0.1
+	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
+	minRetryAfter clock.Millis = 50
+	maxRetryAfter clock.Millis = 2000
+)
+
+// Limit is a workspace's rate and burst for the whole fleet.
+type Limit struct {
+	Rate, Burst float64
+}
+
+// Config configures a rationer.
+type Config struct {
+	// SilentLife is the time after the last report of a host for which its part
+	// stays reserved. It must be longer than the time after which a host without
+	// contact to the store stops admitting.
+	SilentLife clock.Millis
+}
+
+// Rationer holds a host's part of every workspace's rate.
+type Rationer struct {
+	cfg     Config
+	buckets map[string]*bucket
+	hosts   map[string]*host
+}
+
+// host is what another host reported.
+type host struct {
+	at      clock.Millis
+	heard   bool
+	demands map[string]float64
+}
+
+type bucket struct {
+	limit  Limit
+	tokens float64
+	at     clock.Millis
+	demand float64
+	seen   clock.Millis
+}
+
+// New returns a rationer without limits.
+func New(cfg Config) *Rationer {
+	return &Rationer{cfg: cfg, buckets: make(map[string]*bucket), hosts: make(map[string]*host)}
+}
+
+// SetLimits replaces the limits by workspace.
+func (r *Rationer) SetLimits(limits map[string]Limit, now clock.Millis) {
+	for name, limit := range limits {
+		b := r.buckets[name]
+		if b == nil {
+			b = &bucket{at: now, seen: now}
+			b.tokens = startTokens * limit.Burst * r.part(name, b)
+			r.buckets[name] = b
+		}
+		r.fill(name, b, now)
+		b.limit = limit
+		b.tokens = math.Min(b.tokens, r.capacity(name, b))
+	}
+	for name := range r.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(r.buckets, name)
+		}
+	}
+}
+
+// AddHost makes room for a host that is known to exist but was not heard yet.
+func (r *Rationer) AddHost(name string, now clock.Millis) {
+	if r.hosts[name] == nil {
+		r.hosts[name] = &host{at: now}
+	}
+}
+
+// SetHost takes the demands that another host reports.
+func (r *Rationer) SetHost(name string, demands map[string]float64, now clock.Millis) {
+	r.hosts[name] = &host{at: now, heard: true, demands: demands}
+}
+
+// RemoveHost forgets a host that said that it has stopped.
+func (r *Rationer) RemoveHost(name string) { delete(r.hosts, name) }
+
+// Expire forgets the hosts that have been silent for longer than SilentLife.
+func (r *Rationer) Expire(now clock.Millis) {
+	for name, h := range r.hosts {
+		if now-h.at > r.cfg.SilentLife {
+			delete(r.hosts, name)
+		}
+	}
+}
+
+// Admit takes a token of a workspace, or tells when one will be there.
+func (r *Rationer) Admit(workspace string, now clock.Millis) (ok bool, retryAfter clock.Millis) {
+	b := r.buckets[workspace]
+	if b == nil || b.limit.Rate <= 0 {
+		return true, 0
+	}
+	r.fill(workspace, b, now)
+	b.count(now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0
+	}
+	rate := b.limit.Rate * r.part(workspace, b)
+	wait := clock.Millis(math.Ceil((1 - b.tokens) / math.Max(rate, 0.01) * 1000))
+	return false, min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// Refund gives back the token of a request that was not sent.
+func (r *Rationer) Refund(workspace string) {
+	if b := r.buckets[workspace]; b != nil {
+		b.tokens++
+	}
+}
+
+// Demands returns the requests a second by workspace at this host.
+func (r *Rationer) Demands(now clock.Millis) map[string]float64 {
+	out := make(map[string]float64)
+	for name, b := range r.buckets {
+		b.decay(now)
+		if b.demand > 0.01 {
+			out[name] = b.demand
+		}
+	}
+	return out
+}
+
+// count adds a request to the demand.
+func (b *bucket) count(now clock.Millis) {
+	b.decay(now)
+	b.demand += 1000 / float64(demandLife)
+}
+
+func (b *bucket) decay(now clock.Millis) {
+	b.demand *= math.Exp(-float64(now-b.seen) / float64(demandLife))
+	b.seen = now
+}
+
+// part is this host's part of a workspace's rate, from 0 to 1.
+func (r *Rationer) part(workspace string, b *bucket) float64 {
+	n := float64(len(r.hosts) + 1)
+	sum := b.demand
+	for _, h := range r.hosts {
+		if h.heard {
+			sum += h.demands[workspace]
+		} else {
+			sum += b.demand
+		}
+	}
+	if sum <= 0 {
+		return 1 / n
+	}
+	return equalPart/n + (1-equalPart)*b.demand/sum
+}
+
+func (r *Rationer) capacity(workspace string, b *bucket) float64 {
+	return math.Max(1, b.limit.Burst*r.part(workspace, b))
+}
+
+func (r *Rationer) fill(workspace string, b *bucket, now clock.Millis) {
+	if now > b.at {
+		b.tokens += b.limit.Rate * r.part(workspace, b) * float64(now-b.at) / 1000
+		b.at = now
+	}
+	b.tokens = math.Min(b.tokens, r.capacity(workspace, b))
+}
--- /dev/null
+++ b/pkg/rationer/retries.go
@@ -0,0 +1,82 @@
+package rationer
+
+import "catkindyke/pkg/clock"
+
+const (
+	// retryBin is the span of one bin of the counts, and retryBins their number:
+	// enough for windows of up to 15 s.
+	retryBin  clock.Millis = 500
+	retryBins int64        = 32
+	// retryMargin keeps the fleet's sum of repeats under the budget although the
+	// hosts' windows begin at different times.
+	retryMargin = 0.8
+)
+
+// RetryConfig is the fleet-wide budget of requests that are sent once more.
+type RetryConfig struct {
+	// Ratio is the number of repeats allowed for each request.
+	Ratio float64
+	// Window is the time over which both are counted.
+	Window clock.Millis
+	// Slack is the number of repeats allowed in addition, for the whole fleet.
+	Slack float64
+}
+
+// Retries counts requests and repeats of each service at this host.
+type Retries struct {
+	cfg      RetryConfig
+	services map[string]*counts
+}
+
+type counts struct {
+	requests, repeats [retryBins]float64
+	bin               int64
+}
+
+// NewRetries returns a budget without history.
+func NewRetries(cfg RetryConfig) *Retries {
+	return &Retries{cfg: cfg, services: make(map[string]*counts)}
+}
+
+// Request counts a caller's request for a service.
+func (r *Retries) Request(service string, now clock.Millis) {
+	c := r.at(service, now)
+	c.requests[c.bin%retryBins]++
+}
+
+// Allow takes one repeat from the budget of a fleet with a number of hosts, or
+// reports that none is left.
+func (r *Retries) Allow(service string, hosts int, now clock.Millis) bool {
+	c := r.at(service, now)
+	var requests, repeats float64
+	for i := int64(0); i < min(int64(r.cfg.Window/retryBin), retryBins-1); i++ {
+		if c.bin-i < 0 {
+			break
+		}
+		k := (c.bin - i) % retryBins
+		requests += c.requests[k]
+		repeats += c.repeats[k]
+	}
+	limit := retryMargin * (r.cfg.Ratio*requests + r.cfg.Slack/float64(max(1, hosts)))
+	if repeats+1 > limit {
+		return false
+	}
+	c.repeats[c.bin%retryBins]++
+	return true
+}
+
+// at returns a service's counts with the bins since the last call emptied.
+func (r *Retries) at(service string, now clock.Millis) *counts {
+	bin := int64(now / retryBin)
+	c := r.services[service]
+	if c == nil {
+		c = &counts{bin: bin}
+		r.services[service] = c
+	}
+	for skipped := int64(0); c.bin < bin && skipped < retryBins; skipped++ {
+		c.bin++
+		c.requests[c.bin%retryBins], c.repeats[c.bin%retryBins] = 0, 0
+	}
+	c.bin = bin
+	return c
+}
--- /dev/null
+++ b/pkg/registrar/registrar.go
@@ -0,0 +1,143 @@
+// Package registrar keeps the list of backend servers that announce
+// themselves. It is pure: the caller gives the time and serializes the calls.
+package registrar
+
+import (
+	"catkindyke/pkg/clock"
+)
+
+// returnGrace is the time after an outage of the store for which entries that
+// are missing keep their place: servers that live announce themselves again
+// within 2 s of the store's return.
+const returnGrace clock.Millis = 2200
+
+// outageMemory is the time after an outage for which a removed entry may still
+// be one that lapsed during it.
+const outageMemory clock.Millis = 2500
+
+// Server is one start of a backend server.
+type Server struct {
+	// ID names the server towards the platform; an answer from another server is refused by it.
+	ID      string
+	Service string
+	// Address is host:port.
+	Address string
+	Zone    string
+	Region  string
+	Slots   int
+	// Draining servers get no new requests.
+	Draining bool
+	// ColdLeft is the time for which the server stayed cold when the entry was written.
+	ColdLeft clock.Millis
+	// Started is the wall time of the server's start in Unix milliseconds, 0 when unknown.
+	Started int64
+}
+
+// Entry is a server with what the registrar noted.
+type Entry struct {
+	Server
+	// ColdUntil is the time until which the server counts as cold.
+	ColdUntil clock.Millis
+	// missingSince is set while the entry is missing from the store after an outage.
+	missingSince clock.Millis
+}
+
+// Registrar holds the entries by ID.
+type Registrar struct {
+	entries    map[string]Entry
+	lastOutage clock.Millis
+	outage     bool
+}
+
+// New returns an empty registrar.
+func New() *Registrar {
+	return &Registrar{entries: make(map[string]Entry), lastOutage: -outageMemory}
+}
+
+// Lost notes that the store does not answer.
+func (r *Registrar) Lost(now clock.Millis) { r.outage, r.lastOutage = true, now }
+
+// Replace takes a whole list. Entries that are missing from it are dropped at
+// once, or after a grace time when the store was away.
+func (r *Registrar) Replace(list []Server, now clock.Millis) {
+	if r.outage {
+		r.outage, r.lastOutage = false, now
+	}
+	seen := make(map[string]bool, len(list))
+	for _, s := range list {
+		seen[s.ID] = true
+		r.put(s, now)
+	}
+	for id := range r.entries {
+		if !seen[id] {
+			r.Remove(id, now)
+		}
+	}
+}
+
+// Put takes a new or changed entry.
+func (r *Registrar) Put(s Server, now clock.Millis) { r.put(s, now) }
+
+func (r *Registrar) put(s Server, now clock.Millis) {
+	old, known := r.entries[s.ID]
+	e := Entry{Server: s, ColdUntil: old.ColdUntil, missingSince: -1}
+	if !known || s.Started != old.Started || s.ColdLeft > 0 {
+		e.ColdUntil = max(e.ColdUntil, now+s.ColdLeft)
+	}
+	r.entries[s.ID] = e
+}
+
+// Remove takes note that an entry is gone.
+func (r *Registrar) Remove(id string, now clock.Millis) {
+	e, ok := r.entries[id]
+	if !ok {
+		return
+	}
+	if r.recovering(now) {
+		if e.missingSince < 0 {
+			e.missingSince = now
+			r.entries[id] = e
+		}
+		return
+	}
+	delete(r.entries, id)
+}
+
+func (r *Registrar) recovering(now clock.Millis) bool {
+	return r.outage || now-r.lastOutage < outageMemory
+}
+
+// Expire drops the entries that are still missing after the grace time and
+// reports whether there were any.
+func (r *Registrar) Expire(now clock.Millis) bool {
+	dropped := false
+	for id, e := range r.entries {
+		if e.missingSince >= 0 && !r.outage && now-e.missingSince >= returnGrace {
+			delete(r.entries, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Chill marks the servers of a zone as cold, as they may be when they are
+// taken back after an evacuation.
+func (r *Registrar) Chill(zone string, until func(service string) clock.Millis) {
+	for id, e := range r.entries {
+		if e.Zone == zone {
+			e.ColdUntil = max(e.ColdUntil, until(e.Service))
+			r.entries[id] = e
+		}
+	}
+}
+
+// SetCold notes that a server says that it is cold for some time.
+func (r *Registrar) SetCold(id string, until clock.Millis) {
+	if e, ok := r.entries[id]; ok {
+		e.ColdUntil = max(e.ColdUntil, until)
+		r.entries[id] = e
+	}
+}
+
+// Entries returns the entries by ID; the map must not be changed.
+func (r *Registrar) Entries() map[string]Entry { return r.entries }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"storj.io/drpc"
 
 	"catkindyke/pkg/claimer"
 	"catkindyke/pkg/clock"
@@ -175,7 +176,7 @@
 	if h.cfg.Caller == nil {
 		return nil
 	}
-	peer, err := peerserver.New(peerserver.Config{Core: h.PeerCore(), TLS: h.cfg.PeerServerTLS})
+	peer, err := peerserver.New(peerserver.Config{Register: h.registerPeer, TLS: h.cfg.PeerServerTLS})
 	if err != nil {
 		return err
 	}
@@ -278,3 +279,7 @@
 func (p *peerCore) Borrow(ctx context.Context, req *schema.BorrowRequest) (*schema.BorrowResponse, error) {
 	return p.controller.Borrow(ctx, req)
 }
+
+func (h *Host) registerPeer(mux drpc.Mux) error {
+	return schema.DRPCRegisterPeer(mux, h.PeerCore())
+}
--- /dev/null
+++ b/pkg/steerer/steerer.go
@@ -0,0 +1,352 @@
+// Package steerer carries a caller's request to a backend server and the
+// answer back: it finds the route, checks the key and the rate, and sends the
+// request to the servers that placement names until one answers.
+package steerer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/cataloger"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/courier"
+	"catkindyke/pkg/meter"
+)
+
+const (
+	// maxBufferedBody is the largest request body that is held in memory, so that
+	// it can be sent again when a server refuses it.
+	maxBufferedBody = 1 << 20
+	// defaultTime is the time for a request on a route without a limit.
+	defaultTime = 30 * clock.Second
+	// minSend is the least time left with which a request is still sent.
+	minSend clock.Millis = 10
+	// maxUnsent is the number of servers that may prove unreachable before the
+	// request is refused.
+	maxUnsent = 3
+	// unreadyRetry is the advice to callers of a host that is not ready: another
+	// host can serve them at once.
+	unreadyRetry clock.Millis = 100
+)
+
+// Headers are the names of the headers that callers and backend servers use.
+type Headers struct {
+	// RequestID names the request; servers repeat it.
+	RequestID string
+	// Deadline is the time that the caller waits, in milliseconds.
+	Deadline string
+	// Object names what the request concerns.
+	Object string
+	// Key is the workspace key of the caller; it is not passed on.
+	Key string
+	// Workspace tells the server the workspace of the key.
+	Workspace string
+	// ExpectedServer names the server that the request is meant for.
+	ExpectedServer string
+	// NotExecuted marks answers of servers that did not run the request.
+	NotExecuted string
+	// Load tells a server's running and waiting requests and its slots.
+	Load string
+	// ServerID names the server in its health answers.
+	ServerID string
+	// ColdLeft tells in health answers for how long a server stays cold, in milliseconds.
+	ColdLeft string
+}
+
+// Config configures a steerer. All fields are needed.
+type Config struct {
+	Headers Headers
+	// Catalog returns the configuration in force, nil before the first.
+	Catalog func() *cataloger.Catalog
+	// Current reports whether the host knows the newest configuration well
+	// enough to accept keys.
+	Current func() bool
+	// Admit takes a token of a workspace's rate.
+	Admit func(workspace string) (ok bool, retryAfter clock.Millis)
+	// Choose picks a server and notes the request as sent to it; the caller of
+	// Choose calls Done when the exchange has ended.
+	Choose func(req balancer.Request) balancer.Choice
+	// Done notes how an exchange ended.
+	Done func(choice balancer.Choice, class string, res balancer.Result, took clock.Millis)
+	// CountRequest counts a request for a service.
+	CountRequest func(service string)
+	// AllowRepeat takes one repeat from a service's budget.
+	AllowRepeat func(service string) bool
+	// Send sends a request to a server.
+	Send func(ctx context.Context, target courier.Target, req *courier.Request) (*courier.Answer, error)
+	// Pick returns a number from 0 up to 1 for the parts of a split.
+	Pick func(route string) float64
+	// Leaving reports whether the host is in a planned stop.
+	Leaving func() bool
+	Clock   clock.Clock
+	Log     zerolog.Logger
+	Meter   *meter.Meter
+}
+
+// Steerer is the HTTP handler for callers' requests.
+type Steerer struct {
+	cfg Config
+}
+
+// New returns a steerer.
+func New(cfg Config) *Steerer { return &Steerer{cfg: cfg} }
+
+// exchange is the state of one request.
+type exchange struct {
+	w         http.ResponseWriter
+	r         *http.Request
+	id        string
+	catalog   *cataloger.Catalog
+	route     *cataloger.Route
+	workspace *cataloger.Workspace
+	service   string
+	start     clock.Millis
+	// limit is the time from the start until which an answer must be given.
+	limit clock.Millis
+	body  []byte
+	// stream is set for a body that is too large to be held.
+	stream io.Reader
+	tried  []string
+	sent   int
+	unsent int
+	// choice is the last decision on placement.
+	choice balancer.Choice
+}
+
+// refusal is an answer of the host's own.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter clock.Millis
+}
+
+// ServeHTTP serves one request.
+func (s *Steerer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{w: w, r: r, id: r.Header.Get(s.cfg.Headers.RequestID), start: s.cfg.Clock.Now()}
+	if s.cfg.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if ref := s.check(x); ref != nil {
+		s.refuse(x, ref)
+		return
+	}
+	answer, ref := s.deliver(x)
+	if ref != nil {
+		s.refuse(x, ref)
+		return
+	}
+	s.pass(x, answer)
+}
+
+// check finds the route and decides whether the request may run.
+func (s *Steerer) check(x *exchange) *refusal {
+	x.catalog = s.cfg.Catalog()
+	if x.catalog == nil {
+		return &refusal{http.StatusServiceUnavailable, "no_configuration", clock.Second}
+	}
+	x.route = x.catalog.Match(hostName(x.r.Host), x.r.URL.Path)
+	keyed := x.catalog.NeedsKeys() && (x.route == nil || !x.route.Open)
+	if keyed && !s.cfg.Current() {
+		return &refusal{http.StatusServiceUnavailable, "stale_configuration", unreadyRetry}
+	}
+	if x.route == nil {
+		return &refusal{http.StatusNotFound, "unknown_route", 0}
+	}
+	if keyed {
+		if x.workspace = x.catalog.Workspace(x.r.Header.Get(s.cfg.Headers.Key)); x.workspace == nil {
+			return &refusal{http.StatusUnauthorized, "unknown_key", 0}
+		}
+	}
+	if !x.readDeadline(s.cfg.Headers.Deadline) {
+		return &refusal{http.StatusBadRequest, "bad_deadline", 0}
+	}
+	if limit := x.catalog.Limits().BodyBytes; limit > 0 && x.r.ContentLength > limit {
+		return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+	}
+	if x.workspace != nil {
+		if ok, wait := s.cfg.Admit(x.workspace.Name); !ok {
+			return &refusal{http.StatusTooManyRequests, "over_rate", wait}
+		}
+	}
+	x.service = x.part(s.cfg.Pick)
+	s.cfg.CountRequest(x.service)
+	return s.readBody(x)
+}
+
+// readDeadline sets the time limit from the caller's header and the route.
+func (x *exchange) readDeadline(name string) bool {
+	x.limit = x.route.Timeout
+	if x.limit <= 0 {
+		x.limit = defaultTime
+	}
+	v := x.r.Header.Get(name)
+	if v == "" {
+		return true
+	}
+	ms, err := strconv.ParseFloat(v, 64)
+	if err != nil || ms <= 0 {
+		return false
+	}
+	x.limit = min(x.limit, clock.Millis(ms))
+	return true
+}
+
+// part chooses the service of a split by weight.
+func (x *exchange) part(pick func(string) float64) string {
+	parts := x.route.Parts
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	var sum float64
+	for _, p := range parts {
+		sum += p.Weight
+	}
+	at := pick(x.route.Name) * sum
+	for _, p := range parts {
+		if at < p.Weight {
+			return p.Service
+		}
+		at -= p.Weight
+	}
+	return parts[len(parts)-1].Service
+}
+
+// readBody holds a body of moderate size in memory.
+func (s *Steerer) readBody(x *exchange) *refusal {
+	if x.r.ContentLength > maxBufferedBody {
+		x.stream = x.r.Body
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, maxBufferedBody+1))
+	if err != nil {
+		return &refusal{http.StatusBadRequest, "unreadable_body", 0}
+	}
+	x.body = body
+	if len(body) > maxBufferedBody {
+		x.stream = io.MultiReader(newReader(body), x.r.Body)
+		x.body = nil
+	}
+	return nil
+}
+
+func (s *Steerer) left(x *exchange) clock.Millis { return x.limit - (s.cfg.Clock.Now() - x.start) }
+
+// deliver sends the request to servers until one has answered or no further
+// attempt is allowed.
+func (s *Steerer) deliver(x *exchange) (*courier.Answer, *refusal) {
+	ctx := x.r.Context()
+	if !x.route.MayRepeat() {
+		// What may run only once is not broken off when its caller leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.left(x).Duration())
+	defer cancel()
+	var last *courier.Answer
+	for {
+		if ref := s.place(x); ref != nil {
+			if last != nil {
+				return last, nil
+			}
+			return nil, ref
+		}
+		began := s.cfg.Clock.Now()
+		answer, err := s.cfg.Send(ctx, courier.Target{ID: x.choice.Server.ID, Address: x.choice.Server.Address}, s.outgoing(x))
+		res := s.result(ctx, answer, err)
+		s.cfg.Done(x.choice, x.route.Name, res, s.cfg.Clock.Now()-began)
+		x.tried = append(x.tried, x.choice.Server.ID)
+		if !errors.Is(err, courier.ErrNotSent) {
+			x.sent++
+		} else {
+			x.unsent++
+		}
+		switch {
+		case res == balancer.Answered:
+			return answer, nil
+		case res == balancer.Abandoned:
+			return nil, &refusal{http.StatusGatewayTimeout, "timeout", 0}
+		}
+		if answer != nil && res == balancer.Failed {
+			last = answer
+		}
+		s.logAttempt(x, res, answer, err)
+		if ref := s.mayTryAgain(x, res, err); ref != nil {
+			if last != nil {
+				return last, nil
+			}
+			return nil, ref
+		}
+	}
+}
+
+// place asks placement for a server.
+func (s *Steerer) place(x *exchange) *refusal {
+	left := s.left(x)
+	if left < minSend {
+		return &refusal{http.StatusGatewayTimeout, "timeout", 0}
+	}
+	x.choice = s.cfg.Choose(balancer.Request{
+		Service: x.service, Class: x.route.Name, Object: x.object(s.cfg.Headers.Object),
+		Homes: cataloger.Homes(x.route, x.workspace), Tried: x.tried,
+		Objective: x.route.Objective - (s.cfg.Clock.Now() - x.start), Left: left,
+	})
+	if x.choice.Refused {
+		return &refusal{http.StatusServiceUnavailable, x.choice.Reason, x.choice.RetryAfter}
+	}
+	return nil
+}
+
+func (x *exchange) object(name string) string {
+	if !x.route.Sticky {
+		return ""
+	}
+	return x.r.Header.Get(name)
+}
+
+// result classifies how an attempt ended.
+func (s *Steerer) result(ctx context.Context, answer *courier.Answer, err error) balancer.Result {
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return balancer.Abandoned
+	case err != nil:
+		return balancer.Unreachable
+	case answer.Status == http.StatusMisdirectedRequest:
+		return balancer.Unreachable
+	case answer.Header.Get(s.cfg.Headers.NotExecuted) != "":
+		return balancer.Shed
+	case answer.Status >= http.StatusInternalServerError:
+		return balancer.Failed
+	default:
+		return balancer.Answered
+	}
+}
+
+// mayTryAgain returns nil when the request may go to another server.
+func (s *Steerer) mayTryAgain(x *exchange, res balancer.Result, err error) *refusal {
+	ran := res == balancer.Failed || (err != nil && !errors.Is(err, courier.ErrNotSent))
+	if ran && !x.route.MayRepeat() {
+		return &refusal{http.StatusBadGateway, "no_answer", 0}
+	}
+	ref := &refusal{http.StatusServiceUnavailable, "shed", unreadyRetry}
+	if ran {
+		ref = &refusal{http.StatusBadGateway, "no_answer", 0}
+	}
+	if x.stream != nil && x.sent > 0 {
+		return ref // the body is spent
+	}
+	if errors.Is(err, courier.ErrNotSent) {
+		if x.unsent >= maxUnsent {
+			return ref
+		}
+		return nil
+	}
+	if x.sent >= x.route.Attempts || !s.cfg.AllowRepeat(x.service) {
+		return ref
+	}
+	return nil
+}
--- a/service/peerserver/peerserver.go
+++ b/service/peerserver/peerserver.go
@@ -6,11 +6,11 @@
 	"crypto/tls"
 	"net"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"catkindyke/pkg/dialer"
-	"catkindyke/pkg/schema"
 )
 
 // Server listens for other hosts.
@@ -21,8 +21,8 @@
 
 // Config configures a server.
 type Config struct {
-	// Core answers the calls.
-	Core schema.DRPCPeerServer
+	// Register adds the services that answer the calls.
+	Register func(drpc.Mux) error
 	// TLS is the server side of mutual TLS; connections are plain when nil.
 	TLS *tls.Config
 	// LogError is called for connections that fail.
@@ -32,7 +32,7 @@
 // New returns a server.
 func New(cfg Config) (*Server, error) {
 	mux := drpcmux.New()
-	if err := schema.DRPCRegisterPeer(mux, cfg.Core); err != nil {
+	if err := cfg.Register(mux); err != nil {
 		return nil, err
 	}
 	opts := drpcserver.Options{Manager: dialer.ManagerOptions(), Log: cfg.LogError}
