Give each object one first server and each region's requests steady shares

Change: weighted rendezvous over all servers; the weights of regions follow demand and slots and move slowly.

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -32,6 +32,9 @@
 	// lookupAge is the time for which callers keep a look-up answer. Shorter times
 	// move callers sooner from a host that fails; each halving doubles the look-ups.
 	lookupAge = 2 * clock.Second
+	// shiftPart is the part of the allowed shift between regions, which is given for
+	// 2 s, that shares use; chance and repeats use the rest.
+	shiftPart = 0.3
 	// stopReserve is kept of the grace time of a stop for the end of the process.
 	stopReserve = 500 * time.Millisecond
 	// lingerTime is the part of a planned stop in which new connections are still
@@ -91,6 +94,7 @@
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
 		Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
 		Repeats:   rationer.RetryConfig{Ratio: settings.RepeatRatio, Window: settings.RepeatWindow, Slack: settings.RepeatSlack},
+		ShiftRate: shiftPart * settings.MaxShift / 2,
 		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: meter.New(),
 	})
 	client := platform.NewClient(settings.StoreAddress)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -8,8 +8,6 @@
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"catkindyke/pkg/clock"
 )
 
@@ -26,12 +24,19 @@
 	reportLife = 2 * clock.Second
 	// defaultRegionTrip is the round trip between regions before one was measured, in ms.
 	defaultRegionTrip = 40.0
-	// warmShare is the share of a region's servers that hold one object. More
-	// servers spread a popular object; fewer keep it in the servers' memory.
-	warmShare = 0.25
-	// coldFactor is how much longer an object takes at a server that has not
-	// handled it lately, before both times were measured.
-	coldFactor = 3.0
+	// localTrip is the round trip within a region, in ms.
+	localTrip = 1.0
+	// tripWeight is the weight of one measurement of a round trip.
+	tripWeight = 0.2
+	// firstRanks is the number of an object's first servers that are compared
+	// while one of them can answer in time.
+	firstRanks = 3
+	// stayBias is how much later than another the object's first server may answer
+	// and still be chosen, so that objects stay where they are held.
+	stayBias = 0.8
+	// crowding is the part of the work time by which a fully used server is
+	// thought to be later, because reports of other hosts are under way.
+	crowding = 0.1
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter clock.Millis = 100
 	maxRetryAfter clock.Millis = 2000
@@ -85,8 +90,11 @@
 
 // Config configures a balancer.
 type Config struct {
-	// Region and Zone are those of the host.
-	Region, Zone string
+	// Region is that of the host.
+	Region string
+	// ShiftRate is the largest change a second of the share of a region's requests
+	// that another region serves.
+	ShiftRate float64
 }
 
 // Balancer holds what one host knows of the load of backend servers.
@@ -95,24 +103,32 @@
 	servers map[string]*server
 	pools   map[string]*pool
 	classes map[string]*class
-	reports map[string]*report
+	reports map[string]Report
 	trips   map[string]float64
+	demands map[string]*rate
 	// regionHosts is the number of live hosts by region.
 	regionHosts map[string]int
+	stepped     clock.Millis
+	// turn varies the rank of requests without an object.
+	turn uint64
 }
 
-// report is the load that another host reported.
-type report struct {
-	at    clock.Millis
-	loads map[string]int
+// Report is what another host tells of its load.
+type Report struct {
+	Region string
+	// Loads are its requests in flight by server ID.
+	Loads map[string]int
+	// Demands are its requests a second by service.
+	Demands map[string]float64
+	at      clock.Millis
 }
 
 // New returns a balancer without servers.
 func New(cfg Config) *Balancer {
 	return &Balancer{
 		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool),
-		classes: make(map[string]*class), reports: make(map[string]*report), trips: make(map[string]float64),
-		regionHosts: map[string]int{cfg.Region: 1},
+		classes: make(map[string]*class), reports: make(map[string]Report), trips: make(map[string]float64),
+		demands: make(map[string]*rate), regionHosts: map[string]int{cfg.Region: 1},
 	}
 }
 
@@ -126,7 +142,7 @@
 		if s == nil || s.Address != info.Address || s.Service != info.Service {
 			s = newServer()
 		}
-		s.Server = info
+		s.Server, s.others = info, 0
 		servers[info.ID] = s
 		p := pools[info.Service]
 		if p == nil {
@@ -135,38 +151,21 @@
 		}
 		p.add(s)
 	}
-	for _, p := range pools {
-		p.sort()
-	}
 	b.servers, b.pools = servers, pools
-	for _, r := range b.reports {
-		b.apply(r.loads)
-	}
-}
-
-// apply adds reported loads to servers that have none of this report yet.
-func (b *Balancer) apply(map[string]int) { b.sumReports() }
-
-func (b *Balancer) sumReports() {
-	for _, s := range b.servers {
-		s.others = 0
+	for _, p := range pools {
+		p.start(b.cfg.Region)
 	}
 	for _, r := range b.reports {
-		for id, n := range r.loads {
-			if s := b.servers[id]; s != nil {
-				s.others += n
-			}
-		}
+		b.add(r.Loads, 1)
 	}
 }
 
 // SetReport takes the load that another host reports.
-func (b *Balancer) SetReport(host string, loads map[string]int, now clock.Millis) {
-	if old := b.reports[host]; old != nil {
-		b.add(old.loads, -1)
-	}
-	b.reports[host] = &report{at: now, loads: loads}
-	b.add(loads, 1)
+func (b *Balancer) SetReport(host string, r Report, now clock.Millis) {
+	b.add(b.reports[host].Loads, -1)
+	r.at = now
+	b.reports[host] = r
+	b.add(r.Loads, 1)
 }
 
 func (b *Balancer) add(loads map[string]int, sign int) {
@@ -177,16 +176,6 @@
 	}
 }
 
-// Expire drops the reports of hosts that fell silent.
-func (b *Balancer) Expire(now clock.Millis) {
-	for host, r := range b.reports {
-		if now-r.at > reportLife {
-			b.add(r.loads, -1)
-			delete(b.reports, host)
-		}
-	}
-}
-
 // SetHosts sets the number of live hosts by region, this host included.
 func (b *Balancer) SetHosts(byRegion map[string]int) { b.regionHosts = byRegion }
 
@@ -196,12 +185,12 @@
 	if !ok {
 		old = ms
 	}
-	b.trips[region] = old + 0.2*(ms-old)
+	b.trips[region] = old + tripWeight*(ms-old)
 }
 
 func (b *Balancer) trip(region string) float64 {
 	if region == b.cfg.Region {
-		return 1
+		return localTrip
 	}
 	if ms, ok := b.trips[region]; ok {
 		return ms
@@ -233,77 +222,71 @@
 //
 // It answers the pattern of every day: many objects, each fast at the servers
 // that handled it lately, more demand in some regions than they have servers,
-// and hosts that see only a part of the load.
+// and hosts that see only a part of the load. An object has one first server,
+// which all hosts compute alike, so that few servers need to learn it. It goes
+// to another when that one can't answer in time or is much later.
 func (b *Balancer) Choose(req Request, now clock.Millis) Choice {
 	p := b.pools[req.Service]
 	if p == nil {
 		return Choice{Refused: true, Reason: ReasonNoServer, RetryAfter: clock.Second}
 	}
 	c := b.class(req)
-	regions := p.allowed(req.Homes)
-	if len(regions) == 0 {
-		return Choice{Refused: true, Reason: ReasonNoServer, RetryAfter: clock.Second}
-	}
-	var best *candidate
-	var reason string
-	for i, region := range p.order(regions, b.cfg.Region) {
-		found, why := b.bestIn(p, region, req, c, now)
-		if found == nil {
-			reason = cmp.Or(reason, why)
-			continue
-		}
-		if i == 0 && found.estimate <= float64(req.Objective) {
-			return b.chosen(p, region, found)
-		}
-		if best == nil || found.estimate < best.estimate {
-			best = found
-		}
+	ranked := p.rank(b.seed(req), req.Homes)
+	best, reason := b.best(ranked[:min(firstRanks, len(ranked))], req, c, now)
+	if best == nil || best.estimate > float64(req.Objective) {
+		best, reason = b.best(ranked, req, c, now)
 	}
 	if best == nil {
-		return Choice{Refused: true, Reason: reason, RetryAfter: b.retryAfter(p, c, 0)}
+		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
 	}
-	if limit := b.patience(req); best.estimate > limit {
-		return Choice{
-			Refused: true, Reason: ReasonBusy, Load: best.load, Estimate: clock.Millis(best.estimate),
-			RetryAfter: b.retryAfter(p, c, best.estimate-limit),
-		}
+	choice := Choice{Server: best.s.Server, Warm: best.warm, Load: best.load, Estimate: clock.Millis(best.estimate)}
+	if limit := patience(req); best.estimate > limit {
+		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
+		choice.RetryAfter = retryAfter(best.estimate - limit + c.warm)
 	}
-	return b.chosen(p, best.s.Region, best)
+	return choice
 }
 
-func (b *Balancer) chosen(p *pool, region string, c *candidate) Choice {
-	p.count(region)
-	return Choice{Server: c.s.Server, Warm: c.warm, Load: c.load, Estimate: clock.Millis(c.estimate)}
+// seed is the hash by which an object's servers are ranked. Requests without
+// an object are spread.
+func (b *Balancer) seed(req Request) uint64 {
+	if req.Object == "" {
+		b.turn++
+		return mix(b.turn * 0x9e3779b97f4a7c15)
+	}
+	return objectHash(req)
 }
 
 // patience is the longest estimate with which a request is still sent.
-func (b *Balancer) patience(req Request) float64 {
+func patience(req Request) float64 {
 	return min(float64(req.Left)*0.9, max(float64(req.Objective)*1.5, float64(req.Left)*0.5))
 }
 
-func (b *Balancer) retryAfter(p *pool, c *class, over float64) clock.Millis {
-	_ = p
-	return min(max(clock.Millis(math.Ceil(over+c.warm)), minRetryAfter), maxRetryAfter)
+func retryAfter(ms float64) clock.Millis {
+	return min(max(clock.Millis(math.Ceil(ms)), minRetryAfter), maxRetryAfter)
 }
 
-// bestIn returns the server of a region with the earliest estimated answer.
-func (b *Balancer) bestIn(p *pool, region string, req Request, c *class, now clock.Millis) (*candidate, string) {
-	servers := p.regions[region]
-	holders := holders(servers, req.Object)
+// best returns the server with the earliest estimated answer, with a bias for
+// the first of the ranking.
+func (b *Balancer) best(ranked []*server, req Request, c *class, now clock.Millis) (*candidate, string) {
 	var best *candidate
+	var bestCost float64
 	reason := ReasonNoServer
-	for i, s := range rank(servers, req.Object) {
+	for i, s := range ranked {
 		if slices.Contains(req.Tried, s.ID) || s.down(now) {
 			continue
 		}
-		if s.isCold(now) && !s.coldToken(b, now) {
+		if s.isCold(now) && !s.hasColdToken(b, now) {
 			reason = ReasonCold
 			continue
 		}
-		warm := i < holders
-		cand := b.estimate(s, warm, region, c)
-		if best == nil || cand.estimate < best.estimate {
-			best = &cand
+		cand := b.estimate(s, i == 0 || s.holds(req), c)
+		cost := cand.estimate
+		if i == 0 {
+			cost *= stayBias
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = &cand, cost
 		}
 	}
 	return best, reason
@@ -311,51 +294,81 @@
 
 // estimate predicts the time until a server's answer: the trip, the wait for a
 // slot, and the work.
-func (b *Balancer) estimate(s *server, warm bool, region string, c *class) candidate {
+func (b *Balancer) estimate(s *server, warm bool, c *class) candidate {
 	load := s.own + s.others
 	work := c.cold
 	if warm {
 		work = c.warm
 	}
 	work *= s.slowness
-	// Requests beyond the slots wait for the slots' turns.
-	wait := 0.0
-	if over := load + 1 - s.Slots; over > 0 {
-		wait = float64(over) / float64(s.Slots) * c.warm * s.slowness
+	wait := c.wait(s, load)
+	crowd := crowding * work * math.Min(1, float64(load)/float64(s.Slots))
+	return candidate{s: s, warm: warm, load: load, estimate: b.trip(s.Region) + wait + work + crowd}
+}
+
+// wait is the time until a server's slot is free for one more request.
+func (c *class) wait(s *server, load int) float64 {
+	over := load + 1 - s.Slots
+	if over <= 0 {
+		return 0
 	}
-	// The last free slots are more likely to be taken by hosts whose reports are under way.
-	crowd := 0.1 * work * float64(load) / float64(s.Slots)
-	return candidate{s: s, warm: warm, load: load, estimate: b.trip(region) + wait + work + crowd}
+	return float64(over) / float64(s.Slots) * c.warm * s.slowness
 }
 
-// holders is the number of servers that hold one object in a region.
-func holders(servers []*server, object string) int {
-	if object == "" {
-		return len(servers)
+// Step does what depends on time alone: it drops old reports, moves the shares
+// of regions and lets servers that were slow be tried again.
+func (b *Balancer) Step(now clock.Millis) {
+	for host, r := range b.reports {
+		if now-r.at > reportLife {
+			b.add(r.Loads, -1)
+			delete(b.reports, host)
+		}
+	}
+	elapsed := now - b.stepped
+	b.stepped = now
+	if elapsed <= 0 || elapsed > maxStep {
+		return
 	}
-	return max(1, int(math.Round(warmShare*float64(len(servers)))))
+	for name, p := range b.pools {
+		p.shift(b.demandOf(name, now), b.cfg, elapsed)
+	}
+	for _, s := range b.servers {
+		s.recover(elapsed)
+	}
+}
+
+// Count notes a request for a service.
+func (b *Balancer) Count(service string, now clock.Millis) {
+	d := b.demands[service]
+	if d == nil {
+		d = &rate{at: now}
+		b.demands[service] = d
+	}
+	d.add(now)
 }
 
-// rank orders servers by rendezvous hashing on the object, so that all hosts
-// agree and a server that joins or leaves moves few objects.
-func rank(servers []*server, object string) []*server {
-	if object == "" {
-		return servers
+// Demands returns this host's requests a second by service.
+func (b *Balancer) Demands(now clock.Millis) map[string]float64 {
+	out := make(map[string]float64, len(b.demands))
+	for name, d := range b.demands {
+		out[name] = d.value(now)
 	}
-	seed := xxhash.Sum64String(object)
-	out := slices.Clone(servers)
-	for _, s := range out {
-		s.score = mix(seed ^ s.hash())
+	return out
+}
+
+// demandOf sums the requests a second for a service by the region of the hosts.
+func (b *Balancer) demandOf(service string, now clock.Millis) map[string]float64 {
+	out := make(map[string]float64)
+	if d := b.demands[service]; d != nil {
+		out[b.cfg.Region] = d.value(now)
+	}
+	for _, r := range b.reports {
+		out[r.Region] += r.Demands[service]
 	}
-	slices.SortFunc(out, func(a, b *server) int { return cmp.Compare(b.score, a.score) })
 	return out
 }
 
-// mix is the finalizer of splitmix64, which spreads the bits of a sum of hashes.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+// byScore orders servers with the highest score first, by ID where scores are equal.
+func byScore(a, b *server) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
 }
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -1,16 +1,22 @@
 package balancer
 
 import (
-	"cmp"
+	"math"
 	"slices"
-	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkindyke/pkg/clock"
 )
 
 const (
+	// coldFactor is how much longer an object takes at a server that has not
+	// handled it lately, before both times were measured.
+	coldFactor = 3.0
 	// classWeight is the weight of one answer in a class's work times.
 	classWeight = 0.05
-	// countLife is the number of requests over which the shares of regions are kept even.
-	countLife = 200.0
+	// minColdFactor keeps the two times of a class apart.
+	minColdFactor = 1.2
 )
 
 // class is what is known of requests of one kind.
@@ -23,106 +29,91 @@
 func (b *Balancer) class(req Request) *class {
 	c := b.classes[req.Class]
 	if c == nil {
-		warm := float64(req.Objective) / 2
+		warm := math.Max(1, float64(req.Objective)/2)
 		c = &class{warm: warm, cold: warm * coldFactor}
 		b.classes[req.Class] = c
 	}
 	return c
 }
 
-func (c *class) learn(warm bool, work float64) {
-	if warm {
+// learn moves the nearer of the two times towards a measured one.
+func (c *class) learn(work float64) {
+	if work < math.Sqrt(c.warm*c.cold) {
 		c.warm += classWeight * (work - c.warm)
 	} else {
 		c.cold += classWeight * (work - c.cold)
 	}
-	c.cold = max(c.cold, c.warm)
+	c.cold = max(c.cold, minColdFactor*c.warm)
+}
+
+// demandLife is the time over which demands are averaged. It is longer than a
+// burst, so that regions do not shift back and forth with one.
+const demandLife clock.Millis = 4000
+
+// rate is a discounted number of events a second.
+type rate struct {
+	perSecond float64
+	at        clock.Millis
 }
 
+func (r *rate) value(now clock.Millis) float64 {
+	r.perSecond *= math.Exp(-float64(now-r.at) / float64(demandLife))
+	r.at = now
+	return r.perSecond
+}
+
+func (r *rate) add(now clock.Millis) { r.perSecond = r.value(now) + 1000/float64(demandLife) }
+
 // pool is the servers of one service.
 type pool struct {
-	regions map[string][]*server
+	servers []*server
 	slots   map[string]float64
-	total   float64
-	// sent is the discounted number of requests by region.
-	sent map[string]float64
+	// weights are the shares of this region's requests by serving region.
+	weights map[string]float64
+	// work is the mean time that a request takes a slot, in milliseconds.
+	work float64
 }
 
 func newPool(old *pool) *pool {
-	p := &pool{regions: make(map[string][]*server), slots: make(map[string]float64), sent: make(map[string]float64)}
+	p := &pool{slots: make(map[string]float64)}
 	if old != nil {
-		p.sent = old.sent
+		p.weights, p.work = old.weights, old.work
 	}
 	return p
 }
 
 func (p *pool) add(s *server) {
-	p.regions[s.Region] = append(p.regions[s.Region], s)
+	p.servers = append(p.servers, s)
 	p.slots[s.Region] += float64(s.Slots)
-	p.total += float64(s.Slots)
-}
-
-func (p *pool) sort() {
-	for _, servers := range p.regions {
-		slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
-	}
 }
 
-// allowed returns the regions with servers that may serve a request, by name.
-func (p *pool) allowed(homes []string) []string {
-	var out []string
-	for region := range p.regions {
-		if homes == nil || slices.Contains(homes, region) {
-			out = append(out, region)
+// rank orders the servers that may serve a request by weighted rendezvous
+// hashing, so that all hosts of a region agree and a change of a weight or of
+// the servers moves few objects.
+func (p *pool) rank(seed uint64, homes []string) []*server {
+	out := make([]*server, 0, len(p.servers))
+	for _, s := range p.servers {
+		if homes != nil && !slices.Contains(homes, s.Region) {
+			continue
 		}
+		weight := math.Max(p.weights[s.Region], minWeight) * float64(s.Slots) / p.slots[s.Region]
+		u := (float64(mix(seed^s.hash())>>11) + 0.5) / (1 << 53)
+		s.score = -weight / math.Log(u)
+		out = append(out, s)
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, byScore)
 	return out
 }
 
-// order puts first the region that is furthest behind its share of requests,
-// then the others, the host's own before the rest. Shares follow the slots.
-func (p *pool) order(regions []string, own string) []string {
-	if len(regions) < 2 {
-		return regions
-	}
-	var slots, sent float64
-	for _, region := range regions {
-		slots += p.slots[region]
-		sent += p.sent[region]
-	}
-	behind := func(region string) float64 {
-		return p.slots[region]/slots*(sent+1) - p.sent[region]
-	}
-	first := slices.MaxFunc(regions, func(a, b string) int { return cmp.Compare(behind(a), behind(b)) })
-	out := slices.Clone(regions)
-	slices.SortStableFunc(out, func(a, b string) int {
-		return cmp.Compare(place(a, first, own), place(b, first, own))
-	})
-	return out
-}
-
-func place(region, first, own string) int {
-	switch region {
-	case first:
-		return 0
-	case own:
-		return 1
-	default:
-		return 2
-	}
+func objectHash(req Request) uint64 {
+	return xxhash.Sum64String(req.Class + "\x00" + req.Object)
 }
 
-// count notes that a request goes to a region.
-func (p *pool) count(region string) {
-	p.sent[region]++
-	var sum float64
-	for _, n := range p.sent {
-		sum += n
-	}
-	if sum > countLife {
-		for r := range p.sent {
-			p.sent[r] *= 0.5
-		}
-	}
+// mix is the finalizer of splitmix64, which spreads the bits of a combined hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -15,14 +15,23 @@
 	ejectionTime clock.Millis = 2000
 	// outcomeWeight is the weight of one outcome in the share of failures.
 	outcomeWeight = 0.15
-	// maxSlowness bounds how slow a server is thought to be.
-	maxSlowness = 20.0
+	// minSlowness and maxSlowness bound how slow a server is thought to be.
+	minSlowness, maxSlowness = 0.5, 20.0
 	// slownessWeight is the weight of one answer in a server's slowness.
 	slownessWeight = 0.15
+	// slownessLife is the time in which a server that gets no requests is thought
+	// to have recovered for the most part.
+	slownessLife = 5 * clock.Second
 	// coldBurst is the number of requests that one host may send to a cold server at once.
 	coldBurst = 1.0
 	// coldMargin keeps the fleet's requests to a cold server under its rate.
 	coldMargin = 0.8
+	// heldTime is the time for which a server is thought to hold an object that it
+	// handled, and maxHeld the number of objects noted for each server.
+	heldTime = 15 * clock.Second
+	maxHeld  = 512
+	// workWeight is the weight of one answer in the mean work of a service.
+	workWeight = 0.02
 )
 
 // server is what a host knows of a backend server.
@@ -38,11 +47,16 @@
 	slowness    float64
 	coldTokens  float64
 	coldAt      clock.Millis
-	idHash      uint64
-	score       uint64
+	// held are the hashes of objects that this host has sent, with the time.
+	held   map[uint64]clock.Millis
+	now    clock.Millis
+	idHash uint64
+	score  float64
 }
 
-func newServer() *server { return &server{slowness: 1, coldTokens: coldBurst} }
+func newServer() *server {
+	return &server{slowness: 1, coldTokens: coldBurst, held: make(map[uint64]clock.Millis)}
+}
 
 func (s *server) hash() uint64 {
 	if s.idHash == 0 {
@@ -51,14 +65,46 @@
 	return s.idHash
 }
 
-func (s *server) down(now clock.Millis) bool { return s.unreachable || now < s.downUntil }
+func (s *server) down(now clock.Millis) bool {
+	s.now = now
+	return s.unreachable || now < s.downUntil
+}
 
 func (s *server) isCold(now clock.Millis) bool { return now < s.ColdUntil }
 
-// coldToken reports whether this host may send a request to a cold server now.
+// holds reports whether this host has sent the object to the server lately.
+func (s *server) holds(req Request) bool {
+	if req.Object == "" {
+		return true
+	}
+	at, ok := s.held[objectHash(req)]
+	return ok && s.now-at <= heldTime
+}
+
+func (s *server) hold(object uint64, now clock.Millis) {
+	s.held[object] = now
+	if len(s.held) <= maxHeld {
+		return
+	}
+	for o, at := range s.held {
+		if now-at > heldTime {
+			delete(s.held, o)
+		}
+	}
+	if len(s.held) > maxHeld {
+		clear(s.held)
+	}
+}
+
+// recover lets a slow server be tried again.
+func (s *server) recover(elapsed clock.Millis) {
+	s.slowness += (1 - s.slowness) * math.Min(1, float64(elapsed)/float64(slownessLife))
+}
+
+// hasColdToken reports whether this host may send a request to a cold server now.
 // Only the hosts of its region do, each with an equal part of the rate, so that
 // the fleet keeps the bound without exchanging messages.
-func (s *server) coldToken(b *Balancer, now clock.Millis) bool {
+func (s *server) hasColdToken(b *Balancer, now clock.Millis) bool {
 	hosts := b.regionHosts[s.Region]
 	switch {
 	case hosts == 0:
@@ -69,7 +115,7 @@
 		return false
 	}
 	rate := coldMargin * s.ColdRate / float64(max(1, hosts))
-	s.coldTokens = min(coldBurst, s.coldTokens+rate*float64(now-s.coldAt)/1000)
+	s.coldTokens = math.Min(coldBurst, s.coldTokens+rate*float64(now-s.coldAt)/1000)
 	s.coldAt = now
 	return s.coldTokens >= 1
 }
@@ -91,29 +137,47 @@
 	Abandoned
 )
 
-// Start notes that a request is sent to a server.
-func (b *Balancer) Start(id string, now clock.Millis) {
-	s := b.servers[id]
+// Start notes that a request is sent to the chosen server. It returns whether
+// this host knows that the server holds the object.
+func (b *Balancer) Start(c Choice, req Request, now clock.Millis) (known bool) {
+	s := b.servers[c.Server.ID]
 	if s == nil {
-		return
+		return false
 	}
 	s.own++
 	if s.isCold(now) {
 		s.coldTokens--
 	}
+	s.now = now
+	known = s.holds(req)
+	if req.Object != "" {
+		s.hold(objectHash(req), now)
+	}
+	return known
 }
 
-// Done notes how an exchange ended and how long it took.
-func (b *Balancer) Done(id, className string, warm bool, load int, res Result, took, now clock.Millis) {
-	s := b.servers[id]
+// Exchange is a finished exchange with a server.
+type Exchange struct {
+	Choice Choice
+	Class  string
+	// Known says that the server was known to hold the object.
+	Known  bool
+	Result Result
+	// Took is the time from sending the request to the answer.
+	Took clock.Millis
+}
+
+// Done notes how an exchange ended.
+func (b *Balancer) Done(x Exchange, now clock.Millis) {
+	s := b.servers[x.Choice.Server.ID]
 	if s == nil {
 		return
 	}
 	s.own = max(0, s.own-1)
-	switch res {
+	switch x.Result {
 	case Answered:
 		s.failures *= 1 - outcomeWeight
-		b.learn(s, className, warm, load, float64(took), now)
+		b.learn(s, x, now)
 	case Failed:
 		s.failures += outcomeWeight * (1 - s.failures)
 	case Unreachable:
@@ -132,49 +196,42 @@
 	if p == nil {
 		return false
 	}
-	total, down := 0, 0
-	for _, servers := range p.regions {
-		for _, other := range servers {
-			total++
-			if other.down(now) {
-				down++
-			}
+	down := 1
+	for _, other := range p.servers {
+		if other != s && other.down(now) {
+			down++
 		}
 	}
-	return 2*(down+1) <= total
+	return 2*down <= len(p.servers)
 }
 
-// learn updates the work time of the class and the slowness of the server.
-func (b *Balancer) learn(s *server, className string, warm bool, load int, took float64, now clock.Millis) {
-	c := b.classes[className]
-	if c == nil {
+// learn updates the work times of the class and the service and the slowness
+// of the server.
+func (b *Balancer) learn(s *server, x Exchange, now clock.Millis) {
+	c := b.classes[x.Class]
+	if c == nil || s.isCold(now) {
 		return
 	}
-	work := took - b.trip(s.Region)
-	if work <= 0 {
-		work = 1
-	}
-	expected := c.cold
-	if warm {
-		expected = c.warm
+	work := math.Max(1, float64(x.Took)-b.trip(s.Region)-c.wait(s, x.Choice.Load))
+	if x.Known {
+		ratio := math.Min(work/c.warm, maxSlowness)
+		s.slowness += slownessWeight * (ratio - s.slowness)
+		s.slowness = math.Min(math.Max(s.slowness, minSlowness), maxSlowness)
 	}
-	if over := load + 1 - s.Slots; over > 0 {
-		expected += float64(over) / float64(s.Slots) * c.warm
+	if x.Choice.Load < s.Slots {
+		c.learn(work / math.Max(1, s.slowness))
 	}
-	if !s.isCold(now) {
-		ratio := math.Min(work/math.Max(expected, 1), maxSlowness)
-		s.slowness += slownessWeight * (ratio - s.slowness)
-		s.slowness = math.Min(math.Max(s.slowness, 0.5), maxSlowness)
-		if load < s.Slots {
-			c.learn(warm, work/math.Max(s.slowness, 0.5))
+	if p := b.pools[s.Service]; p != nil {
+		if p.work == 0 {
+			p.work = work
 		}
+		p.work += workWeight * (work - p.work)
 	}
 }
 
-// Probed notes the result of a health check; cold is the time for which the
-// server says that it stays cold.
-func (b *Balancer) Probed(id string, healthy bool) {
-	if s := b.servers[id]; s != nil && healthy {
+// Probed notes that a health check of a server succeeded.
+func (b *Balancer) Probed(id string) {
+	if s := b.servers[id]; s != nil {
 		s.unreachable = false
 	}
 }
--- /dev/null
+++ b/pkg/balancer/shares.go
@@ -0,0 +1,124 @@
+package balancer
+
+import (
+	"maps"
+	"math"
+
+	"catkindyke/pkg/clock"
+)
+
+const (
+	// minWeight keeps the servers of regions without a share at the end of each
+	// ranking, for when all others fail.
+	minWeight = 1e-6
+	// targetUse is the use of a region's slots up to which it serves its own
+	// callers before it sends some to other regions.
+	targetUse = 0.6
+	// evenness is how far above the mean use of all regions a region may be.
+	evenness = 1.1
+	// maxStep is the longest time between steps; after a suspension the shares
+	// stay where they are.
+	maxStep = 5 * clock.Second
+)
+
+// target computes which share of a region's requests each region should serve.
+//
+// It answers demand that does not follow the servers: a region with a tenth of
+// the servers and a third of the callers. Each region serves its own callers up
+// to a use of its slots that is even over the fleet; the rest is divided in
+// proportion to the room that is left elsewhere.
+func target(own string, slots, demand map[string]float64, work float64) map[string]float64 {
+	var totalSlots, totalDemand float64
+	for region, n := range slots {
+		totalSlots += n
+		totalDemand += demand[region]
+	}
+	for region, d := range demand {
+		if slots[region] == 0 {
+			totalDemand += d
+		}
+	}
+	if totalSlots == 0 {
+		return nil
+	}
+	// use converts requests a second to slots in use.
+	use := work / 1000
+	limit := math.Max(targetUse, evenness*totalDemand*use/totalSlots)
+	out := make(map[string]float64, len(slots))
+	need := demand[own] * use
+	local := 1.0
+	if room := slots[own] * limit; need > room {
+		local = room / need
+	}
+	if slots[own] == 0 {
+		local = 0
+	}
+	var spare float64
+	for region, n := range slots {
+		if region != own {
+			out[region] = math.Max(0, n*limit-demand[region]*use)
+			spare += out[region]
+		}
+	}
+	if spare == 0 {
+		// Nowhere is room: divide by slots.
+		for region, n := range slots {
+			out[region] = n / totalSlots
+		}
+		return out
+	}
+	for region := range out {
+		out[region] *= (1 - local) / spare
+	}
+	if slots[own] > 0 {
+		out[own] = local
+	}
+	return out
+}
+
+// start sets the shares of a pool that has none, as if demand were the same in
+// all regions.
+func (p *pool) start(own string) {
+	if p.weights != nil {
+		return
+	}
+	equal := make(map[string]float64, len(p.slots)+1)
+	for region := range p.slots {
+		equal[region] = 1
+	}
+	equal[own] = 1
+	var total float64
+	for _, n := range p.slots {
+		total += n
+	}
+	// The work is such that all slots are in use, which is where shares matter.
+	p.weights = target(own, p.slots, equal, total/float64(len(equal))*1000)
+}
+
+// shift moves the shares towards their target, at most as fast as the limit on
+// shifts between regions allows.
+func (p *pool) shift(demand map[string]float64, cfg Config, elapsed clock.Millis) {
+	if p.work == 0 {
+		return
+	}
+	want := target(cfg.Region, p.slots, demand, p.work)
+	next := make(map[string]float64, len(want))
+	var most float64
+	regions := maps.Clone(p.weights)
+	maps.Copy(regions, want)
+	for region := range regions {
+		if _, ok := p.slots[region]; ok {
+			most = math.Max(most, math.Abs(want[region]-p.weights[region]))
+		}
+	}
+	if most == 0 {
+		return
+	}
+	part := math.Min(1, cfg.ShiftRate*float64(elapsed)/1000/most)
+	for region := range regions {
+		if _, ok := p.slots[region]; ok {
+			next[region] = p.weights[region] + part*(want[region]-p.weights[region])
+		}
+	}
+	p.weights = next
+}
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/schema"
 )
@@ -149,6 +150,9 @@
 	for name, rate := range h.rationer.Demands(now) {
 		r.WorkspaceDemands = append(r.WorkspaceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
+	for name, rate := range h.balancer.Demands(now) {
+		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
+	}
 	return r
 }
 
@@ -162,15 +166,21 @@
 	for _, l := range r.GetLoads() {
 		loads[l.GetServerId()] = int(l.GetInFlight())
 	}
-	demands := make(map[string]float64, len(r.GetWorkspaceDemands()))
-	for _, d := range r.GetWorkspaceDemands() {
-		demands[d.GetName()] = d.GetPerS()
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.balancer.SetReport(r.GetName(), loads, now)
-	h.rationer.SetHost(r.GetName(), demands, now)
+	h.balancer.SetReport(r.GetName(), balancer.Report{
+		Region: r.GetRegion(), Loads: loads, Demands: rates(r.GetServiceDemands()),
+	}, now)
+	h.rationer.SetHost(r.GetName(), rates(r.GetWorkspaceDemands()), now)
 	if trip > 0 {
 		h.balancer.SetTrip(r.GetRegion(), float64(trip))
 	}
 }
+
+func rates(list []*schema.Rate) map[string]float64 {
+	out := make(map[string]float64, len(list))
+	for _, r := range list {
+		out[r.GetName()] = r.GetPerS()
+	}
+	return out
+}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -65,6 +65,9 @@
 	WithdrawalLimit clock.Millis
 	// Repeats is the fleet's budget of requests sent once more.
 	Repeats rationer.RetryConfig
+	// ShiftRate is the largest change a second of the share of a region's requests
+	// that another region serves.
+	ShiftRate float64
 	// LookupAge is the time for which callers keep a look-up answer.
 	LookupAge clock.Millis
 	// DialPeer returns a client of another host.
@@ -117,7 +120,7 @@
 	}
 	h := &Host{
 		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), events: make(chan func(), eventQueue), ctx: ctx,
-		balancer: balancer.New(balancer.Config{Region: cfg.Region, Zone: cfg.AvailabilityZone}),
+		balancer: balancer.New(balancer.Config{Region: cfg.Region, ShiftRate: cfg.ShiftRate}),
 		rationer: rationer.New(rationer.Config{SilentLife: silent}),
 		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
 		fleet:     newFleet(cfg),
@@ -187,7 +190,7 @@
 		h.publishServers()
 	}
 	h.mu.Lock()
-	h.balancer.Expire(now)
+	h.balancer.Step(now)
 	h.balancer.SetHosts(h.fleet.byRegion(now))
 	h.rationer.Expire(now)
 	suspects := h.balancer.Unreachable()
@@ -235,27 +238,29 @@
 	return h.rationer.Admit(workspace, h.cfg.Clock.Now())
 }
 
-func (h *Host) choose(req balancer.Request) balancer.Choice {
+func (h *Host) choose(req balancer.Request) (c balancer.Choice, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.cfg.Clock.Now()
-	c := h.balancer.Choose(req, now)
+	c = h.balancer.Choose(req, now)
 	if !c.Refused {
-		h.balancer.Start(c.Server.ID, now)
+		known = h.balancer.Start(c, req, now)
 	}
-	return c
+	return c, known
 }
 
-func (h *Host) done(c balancer.Choice, class string, res balancer.Result, took clock.Millis) {
+func (h *Host) done(x balancer.Exchange) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.balancer.Done(c.Server.ID, class, c.Warm, c.Load, res, took, h.cfg.Clock.Now())
+	h.balancer.Done(x, h.cfg.Clock.Now())
 }
 
 func (h *Host) countRequest(service string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.repeats.Request(service, h.cfg.Clock.Now())
+	now := h.cfg.Clock.Now()
+	h.repeats.Request(service, now)
+	h.balancer.Count(service, now)
 }
 
 func (h *Host) allowRepeat(service string) bool {
--- a/pkg/hoster/probe.go
+++ b/pkg/hoster/probe.go
@@ -53,7 +53,7 @@
 	h.cfg.Log.Info().Str("server", s.ID).Int64("cold_ms", int64(cold)).Msg("server_regained")
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.balancer.Probed(s.ID, true)
+	h.balancer.Probed(s.ID)
 }
 
 // check makes one health check and returns the time for which the server says
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -120,7 +120,7 @@
 		e = e.Uint64("config_version", x.catalog.Version())
 	}
 	if x.route != nil {
-		e = e.Str("route", x.route.Name).Str("service", x.service)
+		e = e.Str("route", x.route.Name).Str("service", x.service).Str("object", x.object(s.cfg.Headers.Object))
 	}
 	if x.workspace != nil {
 		e = e.Str("workspace", x.workspace.Name)
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -69,11 +69,12 @@
 	Current func() bool
 	// Admit takes a token of a workspace's rate.
 	Admit func(workspace string) (ok bool, retryAfter clock.Millis)
-	// Choose picks a server and notes the request as sent to it; the caller of
-	// Choose calls Done when the exchange has ended.
-	Choose func(req balancer.Request) balancer.Choice
-	// Done notes how an exchange ended.
-	Done func(choice balancer.Choice, class string, res balancer.Result, took clock.Millis)
+	// Choose picks a server and notes the request as sent to it; known says that
+	// the server is known to hold the object.
+	Choose func(req balancer.Request) (c balancer.Choice, known bool)
+	// Done notes how an exchange ended; it is called once for each choice that is
+	// not a refusal.
+	Done func(x balancer.Exchange)
 	// CountRequest counts a request for a service.
 	CountRequest func(service string)
 	// AllowRepeat takes one repeat from a service's budget.
@@ -117,6 +118,8 @@
 	unsent int
 	// choice is the last decision on placement.
 	choice balancer.Choice
+	// known says that the chosen server is known to hold the object.
+	known bool
 }
 
 // refusal is an answer of the host's own.
@@ -258,7 +261,9 @@
 		began := s.cfg.Clock.Now()
 		answer, err := s.cfg.Send(ctx, courier.Target{ID: x.choice.Server.ID, Address: x.choice.Server.Address}, s.outgoing(x))
 		res := s.result(ctx, answer, err)
-		s.cfg.Done(x.choice, x.route.Name, res, s.cfg.Clock.Now()-began)
+		s.cfg.Done(balancer.Exchange{
+			Choice: x.choice, Class: x.route.Name, Known: x.known, Result: res, Took: s.cfg.Clock.Now() - began,
+		})
 		x.tried = append(x.tried, x.choice.Server.ID)
 		if !errors.Is(err, courier.ErrNotSent) {
 			x.sent++
@@ -290,7 +295,7 @@
 	if left < minSend {
 		return &refusal{http.StatusGatewayTimeout, "timeout", 0}
 	}
-	x.choice = s.cfg.Choose(balancer.Request{
+	x.choice, x.known = s.cfg.Choose(balancer.Request{
 		Service: x.service, Class: x.route.Name, Object: x.object(s.cfg.Headers.Object),
 		Homes: cataloger.Homes(x.route, x.workspace), Tried: x.tried,
 		Objective: x.route.Objective - (s.cfg.Clock.Now() - x.start), Left: left,
