--- /dev/null
+++ b/pkg/cataloger/cataloger_test.go
@@ -0,0 +1,105 @@
+package cataloger
+
+import (
+	"errors"
+	"slices"
+	"testing"
+)
+
+func valid() Config {
+	return Config{
+		Version:  3,
+		Services: []Service{{Name: "desk"}, {Name: "mill"}},
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Parts: []Part{{"desk", 1}}, Timeout: 800, Attempts: 2},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Parts: []Part{{"mill", 1}}, Timeout: 800, Attempts: 2},
+		},
+		Workspaces: []Workspace{{Name: "lakes", Keys: []string{"k1", "k2"}}, {Name: "ropes", Keys: []string{"k3"}}},
+	}
+}
+
+func withCatalog(t *testing.T, change func(*Config), test func(*Catalog)) {
+	t.Helper()
+	cfg := valid()
+	if change != nil {
+		change(&cfg)
+	}
+	c, err := New(cfg)
+	if err != nil {
+		t.Fatalf("catalog: %v", err)
+	}
+	test(c)
+}
+
+// A shorter prefix must not win over a longer one, nor a prefix match in the
+// middle of a segment.
+func TestMatch(t *testing.T) {
+	withCatalog(t, nil, func(c *Catalog) {
+		for path, want := range map[string]string{"/x/y/z": "long", "/x/z": "short", "/x/yy/": "short", "/x": "", "/": ""} {
+			got := ""
+			if r := c.Match("A.example", path); r != nil {
+				got = r.Name
+			}
+			if got != want {
+				t.Errorf("path %s: route %q, want %q", path, got, want)
+			}
+		}
+		if c.Match("b.example", "/x/") != nil {
+			t.Error("a route of another host matches")
+		}
+	})
+}
+
+func TestWorkspaceOfKey(t *testing.T) {
+	withCatalog(t, nil, func(c *Catalog) {
+		if w := c.Workspace("k2"); w == nil || w.Name != "lakes" {
+			t.Errorf("workspace of k2 is %v", w)
+		}
+		if c.Workspace("") != nil || c.Workspace("k9") != nil {
+			t.Error("an unknown key has a workspace")
+		}
+	})
+}
+
+// What the store should never hold is still refused, so that a host keeps its
+// last good configuration.
+func TestInvalid(t *testing.T) {
+	for name, change := range map[string]func(*Config){
+		"unknown service": func(c *Config) { c.Routes[0].Parts[0].Service = "none" },
+		"no service":      func(c *Config) { c.Routes[0].Parts = nil },
+		"bare prefix":     func(c *Config) { c.Routes[0].Prefix = "/x" },
+		"no timeout":      func(c *Config) { c.Routes[0].Timeout = 0 },
+		"no attempts":     func(c *Config) { c.Routes[0].Attempts = 0 },
+		"shared key":      func(c *Config) { c.Workspaces[1].Keys = []string{"k1"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := valid()
+			change(&cfg)
+			if _, err := New(cfg); !errors.Is(err, ErrInvalid) {
+				t.Errorf("error %v, want ErrInvalid", err)
+			}
+		})
+	}
+}
+
+// An empty list of homes once meant that no region may serve the request.
+func TestHomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		route, workspace, want []string
+		all                    bool
+	}{
+		"none":          {all: true},
+		"empty lists":   {route: []string{}, workspace: []string{}, all: true},
+		"route":         {route: []string{"n"}, workspace: []string{}, want: []string{"n"}},
+		"workspace":     {route: []string{}, workspace: []string{"s"}, want: []string{"s"}},
+		"both":          {route: []string{"n", "s"}, workspace: []string{"s", "e"}, want: []string{"s"}},
+		"contradiction": {route: []string{"n"}, workspace: []string{"s"}, want: []string{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := Homes(&Route{HomeRegions: c.route}, &Workspace{HomeRegions: c.workspace})
+			if c.all != (got == nil) || !slices.Equal(got, c.want) {
+				t.Errorf("homes %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -19,8 +19,14 @@
 	// callTimeout is several round trips between regions. A connection that went
 	// silent is closed after it.
 	callTimeout = 500 * time.Millisecond
-	// patience is the time after which a host with the higher name calls too.
+	// patience is the shortest time after which a host with the higher name calls too.
 	patience clock.Millis = 700
+	// patientRounds is the number of pauses that it waits in a large fleet.
+	patientRounds = 3
+	// nearBudget and farBudget are the exchanges a second that a host takes part in
+	// with hosts of its region and of others. Both together take about 1 % of a
+	// core; in a fleet in which the pauses would need more, they grow with it.
+	nearBudget, farBudget = 60, 80
 	// maxBackoff is the longest pause between calls to a host that does not answer.
 	maxBackoff = 2 * time.Second
 )
@@ -154,25 +160,37 @@
 				g.noteLoss(address, p)
 			}
 		}
-		g.pause(ctx, g.interval(p, failures), p)
+		g.pause(ctx, g.backoff(p, failures), p)
 	}
 }
 
 func (g *Gossiper) myTurn(p *peer) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return p.name == "" || g.cfg.Name < p.name || g.cfg.Clock.Now()-p.heard > patience
+	limit := max(patience, clock.FromDuration(patientRounds*g.interval(p)))
+	return p.name == "" || g.cfg.Name < p.name || g.cfg.Clock.Now()-p.heard > limit
 }
 
-func (g *Gossiper) interval(p *peer, failures int) time.Duration {
+// backoff is the pause after a number of failed calls.
+func (g *Gossiper) backoff(p *peer, failures int) time.Duration {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(g.interval(p)<<min(failures, 5), maxBackoff)
+}
+
+// interval is the pause between exchanges with a peer; the caller holds the lock.
+func (g *Gossiper) interval(p *peer) time.Duration {
+	same := 0
 	near := p.region == g.cfg.Region
-	g.mu.Unlock()
-	pause := g.cfg.Far
+	for _, other := range g.peers {
+		if (other.region == g.cfg.Region) == near {
+			same++
+		}
+	}
 	if near {
-		pause = g.cfg.Near
+		return max(g.cfg.Near, time.Duration(same)*time.Second/nearBudget)
 	}
-	return min(pause<<min(failures, 5), maxBackoff)
+	return max(g.cfg.Far, time.Duration(same)*time.Second/farBudget)
 }
 
 func (g *Gossiper) call(ctx context.Context, address string) bool {
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -37,6 +37,10 @@
 	// stays reserved. It must be longer than the time after which a host without
 	// contact to the store stops admitting.
 	SilentLife clock.Millis
+	// Allowance is the number of requests over rate and burst, for the whole fleet,
+	// by which hosts may err together. Without it a workspace whose few requests
+	// reach many hosts is refused below its rate.
+	Allowance float64
 }
 
 // Rationer holds a host's part of every workspace's rate.
@@ -175,7 +179,8 @@
 }
 
 func (r *Rationer) capacity(workspace string, b *bucket) float64 {
-	return math.Max(1, b.limit.Burst*r.part(workspace, b))
+	allowance := r.cfg.Allowance / float64(len(r.hosts)+1)
+	return math.Max(1, b.limit.Burst*r.part(workspace, b)+allowance)
 }
 
 func (r *Rationer) fill(workspace string, b *bucket, now clock.Millis) {
--- /dev/null
+++ b/pkg/rationer/rationer_test.go
@@ -0,0 +1,202 @@
+package rationer
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"catkindyke/pkg/clock"
+)
+
+// fleet is several rationers that hear of each other.
+type fleet struct {
+	hosts []*Rationer
+	now   clock.Millis
+	// cut are the hosts that no report reaches or leaves.
+	cut      map[int]bool
+	admitted []clock.Millis
+}
+
+func newFleet(n int, limit Limit) *fleet {
+	f := &fleet{now: 100000, cut: make(map[int]bool)}
+	for i := range n {
+		r := New(Config{SilentLife: 6500, Allowance: 10})
+		for j := range n {
+			if j != i {
+				r.AddHost(name(j), f.now)
+			}
+		}
+		r.SetLimits(map[string]Limit{"w": limit}, f.now)
+		f.hosts = append(f.hosts, r)
+	}
+	return f
+}
+
+func name(i int) string { return fmt.Sprintf("h%d", i) }
+
+// exchange gives every host the reports of the others that reach it.
+func (f *fleet) exchange() {
+	for i, r := range f.hosts {
+		demands := r.Demands(f.now)
+		for j, other := range f.hosts {
+			if i != j && f.cut[i] == f.cut[j] {
+				other.SetHost(name(i), demands, f.now)
+			}
+		}
+	}
+	for _, r := range f.hosts {
+		r.Expire(f.now)
+	}
+}
+
+// offer gives a host requests and returns how many it admitted.
+func (f *fleet) offer(host, n int) int {
+	admitted := 0
+	for range n {
+		if ok, _ := f.hosts[host].Admit("w", f.now); ok {
+			f.admitted = append(f.admitted, f.now)
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// worstExcess is the largest number of requests over rate and burst in any
+// window of a length.
+func (f *fleet) worstExcess(limit Limit, window clock.Millis) float64 {
+	worst, first := 0.0, 0
+	for i, at := range f.admitted {
+		for f.admitted[first] <= at-window {
+			first++
+		}
+		worst = max(worst, float64(i-first+1)-limit.Rate*float64(window)/1000-limit.Burst)
+	}
+	return worst
+}
+
+// The users' bound: rate and burst over all hosts, with a tenth and 20 requests
+// over in any 5 s, however demand moves and hosts are cut off.
+func TestFleetKeepsRate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := Limit{Rate: rapid.Float64Range(5, 200).Draw(rt, "rate")}
+		limit.Burst = limit.Rate * rapid.Float64Range(0.5, 2).Draw(rt, "burst")
+		n := rapid.IntRange(1, 12).Draw(rt, "hosts")
+		f := newFleet(n, limit)
+		// A cut lasts no longer than SilentLife: a host that is cut off stops
+		// admitting before that, because it can't know the newest configuration.
+		cutFor := 0
+		for range 300 {
+			f.now += 100
+			f.exchange()
+			switch {
+			case cutFor > 0:
+				if cutFor--; cutFor == 0 {
+					f.cut = make(map[int]bool)
+				}
+			case rapid.IntRange(0, 100).Draw(rt, "event") == 0:
+				f.cut[rapid.IntRange(0, n-1).Draw(rt, "cut host")] = true
+				cutFor = rapid.IntRange(1, 60).Draw(rt, "cut for")
+			}
+			host := rapid.IntRange(0, n-1).Draw(rt, "busy host")
+			f.offer(host, rapid.IntRange(0, int(limit.Rate/2)+1).Draw(rt, "requests"))
+		}
+		bound := 0.1*(5*limit.Rate+limit.Burst) + 20
+		if got := f.worstExcess(limit, 5000); got > bound {
+			rt.Errorf("%.0f requests over rate and burst in 5 s, want at most %.0f", got, bound)
+		}
+	})
+}
+
+// A workspace that asks for less than its rate, evenly at all hosts, is not refused.
+func TestNoRefusalBelowRate(t *testing.T) {
+	limit := Limit{Rate: 20, Burst: 20}
+	f := newFleet(8, limit)
+	refused, asked := 0, 0
+	for step := range 600 {
+		f.now += 50
+		if step%2 == 0 {
+			f.exchange()
+		}
+		if step < 40 {
+			f.offer(step%8, 1) // demand becomes known
+			continue
+		}
+		if step%2 == 0 { // 10 a second, half of the rate
+			asked++
+			refused += 1 - f.offer((step*7/2)%8, 1)
+		}
+	}
+	if float64(refused) > 0.001*float64(asked) {
+		t.Errorf("%d of %d requests below the rate were refused, want at most 0.1 %%", refused, asked)
+	}
+}
+
+// Callers that all move to one host keep most of their rate within seconds.
+func TestSharesFollowDemand(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100}
+	f := newFleet(8, limit)
+	admitted := 0
+	for step := range 200 {
+		f.now += 50
+		f.exchange()
+		n := f.offer(0, 4) // 80 a second
+		if step >= 160 {
+			admitted += n
+		}
+	}
+	if admitted < 152 { // 95 % of 2 s
+		t.Errorf("%d of 160 requests admitted at one host with 80 %% of the rate", admitted)
+	}
+}
+
+// The hosts together repeat no more than the budget allows.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := RetryConfig{Ratio: 0.2, Window: 10000, Slack: 56}
+		hosts := rapid.IntRange(1, 12).Draw(rt, "hosts")
+		var budgets []*Retries
+		for range hosts {
+			budgets = append(budgets, NewRetries(cfg))
+		}
+		type event struct {
+			at     clock.Millis
+			repeat bool
+		}
+		var events []event
+		now := clock.Millis(5000)
+		for range 400 {
+			now += clock.Millis(rapid.IntRange(0, 200).Draw(rt, "pause"))
+			b := budgets[rapid.IntRange(0, hosts-1).Draw(rt, "host")]
+			for range rapid.IntRange(0, 5).Draw(rt, "requests") {
+				b.Request("s", now)
+				events = append(events, event{now, false})
+			}
+			for range rapid.IntRange(0, 10).Draw(rt, "repeats") {
+				if b.Allow("s", hosts, now) {
+					events = append(events, event{now, true})
+				}
+			}
+		}
+		first := 0
+		requests, repeats := 0.0, 0.0
+		for _, e := range events {
+			if e.repeat {
+				repeats++
+			} else {
+				requests++
+			}
+			for events[first].at <= e.at-cfg.Window {
+				if events[first].repeat {
+					repeats--
+				} else {
+					requests--
+				}
+				first++
+			}
+			if repeats > cfg.Ratio*requests+cfg.Slack {
+				rt.Fatalf("%.0f repeats of %.0f requests in 10 s", repeats, requests)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/registrar/registrar_test.go
@@ -0,0 +1,85 @@
+package registrar
+
+import (
+	"testing"
+
+	"catkindyke/pkg/clock"
+)
+
+func entry(id string) Server { return Server{ID: id, Service: "desk", Zone: "z", Slots: 4} }
+
+func assertHas(t *testing.T, r *Registrar, step, id string, want bool) {
+	t.Helper()
+	if _, ok := r.Entries()[id]; ok != want {
+		t.Errorf("%s: entry %s present is %v, want %v", step, id, ok, want)
+	}
+}
+
+// A server that leaves while the store works must get no further request.
+func TestRemovedAtOnce(t *testing.T) {
+	r := New()
+	r.Replace([]Server{entry("a"), entry("b")}, 10000)
+	r.Remove("a", 11000)
+	assertHas(t, r, "after its removal", "a", false)
+	r.Replace(nil, 12000)
+	assertHas(t, r, "after a list without it", "b", false)
+}
+
+// Entries that lapsed while the store was away come back within 2 s; taking
+// them as gone at once would leave nothing to send requests to.
+func TestOutageKeepsEntries(t *testing.T) {
+	r := New()
+	r.Replace([]Server{entry("a"), entry("b")}, 10000)
+	r.Lost(20000)
+	r.Remove("b", 21000)
+	assertHas(t, r, "during the outage", "b", true)
+	r.Replace(nil, 25000)
+	assertHas(t, r, "at the store's return", "a", true)
+	r.Put(entry("a"), 26500)
+	for now := clock.Millis(25000); now <= 27200; now += 100 {
+		r.Expire(now)
+	}
+	assertHas(t, r, "announced again", "a", true)
+	assertHas(t, r, "still missing after the grace time", "b", false)
+}
+
+// A missing entry must not outlive the grace time by a second outage of the list.
+func TestSecondRemovalKeepsFirstTime(t *testing.T) {
+	r := New()
+	r.Replace([]Server{entry("a")}, 10000)
+	r.Lost(20000)
+	r.Replace(nil, 25000)
+	r.Replace(nil, 26000)
+	r.Expire(27200)
+	assertHas(t, r, "2.2 s after it was first missing", "a", false)
+}
+
+// A server that starts again under its ID is cold again.
+func TestRestartIsCold(t *testing.T) {
+	r := New()
+	s := entry("a")
+	s.Started, s.ColdLeft = 1, 3000
+	r.Put(s, 1000)
+	s.ColdLeft = 0
+	r.Put(s, 5000)
+	if until := r.Entries()["a"].ColdUntil; until != 4000 {
+		t.Errorf("cold until %d, want 4000", until)
+	}
+	s.Started, s.ColdLeft = 2, 3000
+	r.Put(s, 9000)
+	if until := r.Entries()["a"].ColdUntil; until != 12000 {
+		t.Errorf("after a restart cold until %d, want 12000", until)
+	}
+}
+
+// The servers of a zone may be cold when an evacuation ends.
+func TestChill(t *testing.T) {
+	r := New()
+	other := entry("b")
+	other.Zone = "y"
+	r.Replace([]Server{entry("a"), other}, 0)
+	r.Chill("z", func(string) clock.Millis { return 7000 })
+	if r.Entries()["a"].ColdUntil != 7000 || r.Entries()["b"].ColdUntil != 0 {
+		t.Errorf("cold until %d and %d, want 7000 and 0", r.Entries()["a"].ColdUntil, r.Entries()["b"].ColdUntil)
+	}
+}
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -139,7 +139,15 @@
 		s.refuse(x, ref)
 		return
 	}
-	answer, ref := s.deliver(x)
+	ctx := x.r.Context()
+	if !x.route.MayRepeat() {
+		// What may run only once is not broken off when its caller leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	// The answer's body may be read until pass returns.
+	ctx, cancel := context.WithTimeout(ctx, s.left(x).Duration())
+	defer cancel()
+	answer, ref := s.deliver(ctx, x)
 	if ref != nil {
 		s.refuse(x, ref)
 		return
@@ -242,14 +250,7 @@
 
 // deliver sends the request to servers until one has answered or no further
 // attempt is allowed.
-func (s *Steerer) deliver(x *exchange) (*courier.Answer, *refusal) {
-	ctx := x.r.Context()
-	if !x.route.MayRepeat() {
-		// What may run only once is not broken off when its caller leaves.
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, s.left(x).Duration())
-	defer cancel()
+func (s *Steerer) deliver(ctx context.Context, x *exchange) (*courier.Answer, *refusal) {
 	var last *courier.Answer
 	for {
 		if ref := s.place(x); ref != nil {
