Let one host's question to the store serve the fleet, and pool small rates

Workspaces with few requests were refused below their rate, because a part of a small rate is less than one request. Hosts follow the fleet's whole bucket.

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -94,7 +94,7 @@
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
 		Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
 		Repeats:   rationer.RetryConfig{Ratio: settings.RepeatRatio, Window: settings.RepeatWindow, Slack: settings.RepeatSlack},
-		ShiftRate: shiftPart * settings.MaxShift / 2,
+		RateSlack: settings.RateSlack, ShiftRate: shiftPart * settings.MaxShift / 2,
 		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: meter.New(),
 	})
 	client := platform.NewClient(settings.StoreAddress)
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -40,8 +40,9 @@
 	Near, Far time.Duration
 	// Region is this host's.
 	Region string
-	// Report makes the report that is sent.
-	Report func() *schema.HostReport
+	// Report makes the report that is sent to a host; its name is empty when it is
+	// not known yet.
+	Report func(to string) *schema.HostReport
 	// Receive takes the report of another host. trip is the measured round trip,
 	// 0 when the other host made the call.
 	Receive func(report *schema.HostReport, trip clock.Millis)
@@ -131,7 +132,7 @@
 func (g *Gossiper) Exchange(_ context.Context, report *schema.HostReport) (*schema.HostReport, error) {
 	g.AddPeer(report.GetPeerAddress())
 	g.received(report.GetPeerAddress(), report, 0)
-	return g.cfg.Report(), nil
+	return g.cfg.Report(report.GetName()), nil
 }
 
 func (g *Gossiper) received(address string, report *schema.HostReport, trip clock.Millis) {
@@ -153,7 +154,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if g.myTurn(p) {
-			if g.call(ctx, address) {
+			if g.call(ctx, address, p) {
 				failures = 0
 			} else {
 				failures++
@@ -193,11 +194,14 @@
 	return max(g.cfg.Far, time.Duration(same)*time.Second/farBudget)
 }
 
-func (g *Gossiper) call(ctx context.Context, address string) bool {
+func (g *Gossiper) call(ctx context.Context, address string, p *peer) bool {
+	g.mu.Lock()
+	name := p.name
+	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := g.cfg.Clock.Now()
-	report, err := g.cfg.Dial(ctx, address).Exchange(ctx, g.cfg.Report())
+	report, err := g.cfg.Dial(ctx, address).Exchange(ctx, g.cfg.Report(name))
 	if err != nil {
 		g.cfg.Log.Debug().Str("address", address).Err(err).Msg("exchange_failed")
 		return false
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -14,8 +14,12 @@
 	Config func(cfg cataloger.Config)
 	// Contact takes a time at which the host knew the newest configuration.
 	Contact func(asOf clock.Millis)
-	// Lost notes that the store did not answer.
-	Lost func(err error)
+	// ProofDue reports whether the store should be asked now if there is a newer
+	// configuration.
+	ProofDue func() bool
+	// Lost notes that the store does not answer, Regained that it does again.
+	Lost     func(err error)
+	Regained func()
 	// Servers takes the list of backend servers, Server and ServerGone one change
 	// of it, and ServersLost notes that changes may have been missed.
 	Servers     func(list []registrar.Server)
@@ -34,8 +38,11 @@
 func (h *Host) Feed() Feed {
 	return Feed{
 		Config:  func(cfg cataloger.Config) { h.do(func() { h.setConfig(cfg) }) },
-		Contact: func(asOf clock.Millis) { h.do(func() { h.setContact(asOf) }) },
-		Lost:    func(err error) { h.do(func() { h.noteStoreLost(err) }) },
+		// What is known of the configuration was handed over before.
+		Contact:  h.advanceContact,
+		ProofDue: h.proofDue,
+		Lost:     func(err error) { h.do(func() { h.noteStoreLost(err) }) },
+		Regained: func() { h.do(h.noteStoreRegained) },
 		Servers: func(list []registrar.Server) {
 			h.do(func() {
 				h.registrar.Replace(list, h.cfg.Clock.Now())
@@ -96,20 +103,35 @@
 	h.publishServers()
 }
 
-func (h *Host) setContact(asOf clock.Millis) {
-	if int64(asOf) > h.contact.Load() {
-		h.contact.Store(int64(asOf))
+// advanceContact notes a time at which the host knew the newest configuration.
+func (h *Host) advanceContact(asOf clock.Millis) {
+	for {
+		old := h.contact.Load()
+		if int64(asOf) <= old || h.contact.CompareAndSwap(old, int64(asOf)) {
+			return
+		}
 	}
-	if h.storeLost {
-		h.storeLost = false
+}
+
+// proofDue reports whether this host should ask the store. The first live host
+// by name asks most often, and the others learn of its answer; each of the next
+// waits longer, so that one call serves the whole fleet and none is indispensable.
+func (h *Host) proofDue() bool {
+	now := h.cfg.Clock.Now()
+	rank := min(h.fleet.rank(now), maxProofRank)
+	return now-clock.Millis(h.contact.Load()) >= proofAge+clock.Millis(rank)*proofStep
+}
+
+func (h *Host) noteStoreRegained() {
+	if h.storeLostAt.Swap(0) != 0 {
 		h.cfg.Log.Info().Msg("store_regained")
 	}
 }
 
 func (h *Host) noteStoreLost(err error) {
-	if !h.storeLost {
-		h.storeLost = true
-		h.cfg.Log.Warn().Int64("contact_age_ms", int64(h.cfg.Clock.Now())-h.contact.Load()).Err(err).Msg("store_lost")
+	now := int64(h.cfg.Clock.Now())
+	if h.storeLostAt.CompareAndSwap(0, now) {
+		h.cfg.Log.Warn().Int64("contact_age_ms", now-h.contact.Load()).Err(err).Msg("store_lost")
 	}
 }
 
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -7,6 +7,7 @@
 
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/schema"
 )
 
@@ -34,6 +35,54 @@
 	members map[string]*member
 	// announced are the peer addresses in the store by name.
 	announced map[string]string
+	// sent are the times of this host's last reports by sequence.
+	sent [sentReports]sentReport
+}
+
+// sentReports is the number of own reports whose times are kept: those of about
+// two seconds in a large fleet.
+const sentReports = 512
+
+type sentReport struct {
+	sequence uint64
+	at       clock.Millis
+}
+
+// sending notes the time before a report is sent.
+func (f *fleet) sending(sequence uint64, now clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[sequence%sentReports] = sentReport{sequence, now}
+}
+
+func (f *fleet) sentAt(sequence uint64) (clock.Millis, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sent[sequence%sentReports]
+	return s.at, sequence > 0 && s.sequence == sequence
+}
+
+// last returns the last report that was received from a host.
+func (f *fleet) last(name string) (incarnation, sequence uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil {
+		return m.incarnation, m.sequence
+	}
+	return 0, 0
+}
+
+// rank is the number of live hosts that come before this one by name.
+func (f *fleet) rank(now clock.Millis) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.members {
+		if now-m.heard <= liveTime && !m.leaving && m.name < f.cfg.Name {
+			n++
+		}
+	}
+	return n
 }
 
 func newFleet(cfg Config) *fleet {
@@ -131,7 +180,7 @@
 }
 
 // report is what this host tells the others.
-func (h *Host) report() *schema.HostReport {
+func (h *Host) report(to string) *schema.HostReport {
 	now := h.cfg.Clock.Now()
 	r := &schema.HostReport{
 		Name: h.cfg.Name, Incarnation: h.incarnation, Sequence: h.sequence.Add(1),
@@ -139,9 +188,15 @@
 		CallerAddress: h.cfg.CallerAddress, PeerAddress: h.cfg.PeerAddress,
 		Ready: h.Ready(), Leaving: h.leaving.Load(),
 	}
+	r.EchoIncarnation, r.EchoSequence = h.fleet.last(to)
+	h.fleet.sending(r.Sequence, now)
 	if c := h.catalog.Load(); c != nil {
 		r.ConfigVersion = c.Version()
 	}
+	// The age is read after the version: a newer version only makes it stricter.
+	if asOf := clock.Millis(h.contact.Load()); asOf >= 0 {
+		r.ConfigAgeMs = uint64(max(0, now-asOf)) + 1
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, n := range h.balancer.Loads() {
@@ -150,18 +205,36 @@
 	for name, rate := range h.rationer.Demands(now) {
 		r.WorkspaceDemands = append(r.WorkspaceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
+	for name, n := range h.rationer.Admitted() {
+		r.Admitted = append(r.Admitted, &schema.Count{Name: name, Events: n})
+	}
 	for name, rate := range h.balancer.Demands(now) {
 		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
 	return r
 }
 
+// proof returns a time at which, by the report of another host, this host knew
+// the newest configuration. The report is no older than the one of this host
+// that it answers to, however long it was on its way.
+func (h *Host) proof(r *schema.HostReport) (asOf clock.Millis, ok bool) {
+	c := h.catalog.Load()
+	if c == nil || r.GetConfigAgeMs() == 0 || r.GetConfigVersion() > c.Version() || r.GetEchoIncarnation() != h.incarnation {
+		return 0, false
+	}
+	sent, ok := h.fleet.sentAt(r.GetEchoSequence())
+	return sent - clock.Millis(r.GetConfigAgeMs()), ok
+}
+
 // receive takes the report of another host.
 func (h *Host) receive(r *schema.HostReport, trip clock.Millis) {
 	now := h.cfg.Clock.Now()
 	if !h.fleet.receive(r, now) {
 		return
 	}
+	if asOf, ok := h.proof(r); ok {
+		h.advanceContact(asOf)
+	}
 	loads := make(map[string]int, len(r.GetLoads()))
 	for _, l := range r.GetLoads() {
 		loads[l.GetServerId()] = int(l.GetInFlight())
@@ -171,7 +244,9 @@
 	h.balancer.SetReport(r.GetName(), balancer.Report{
 		Region: r.GetRegion(), Loads: loads, Demands: rates(r.GetServiceDemands()),
 	}, now)
-	h.rationer.SetHost(r.GetName(), rates(r.GetWorkspaceDemands()), now)
+	h.rationer.SetHost(r.GetName(), rationer.Report{
+		Incarnation: r.GetIncarnation(), Demands: rates(r.GetWorkspaceDemands()), Admitted: counts(r.GetAdmitted()),
+	}, now)
 	if trip > 0 {
 		h.balancer.SetTrip(r.GetRegion(), float64(trip))
 	}
@@ -184,3 +259,11 @@
 	}
 	return out
 }
+
+func counts(list []*schema.Count) map[string]uint64 {
+	out := make(map[string]uint64, len(list))
+	for _, c := range list {
+		out[c.GetName()] = c.GetEvents()
+	}
+	return out
+}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -36,6 +36,18 @@
 	silentMargin clock.Millis = 1500
 	// defaultSilent is used when no such limit is set.
 	defaultSilent = 10 * clock.Second
+	// proofAge is the age of what is known of the configuration at which the first
+	// host asks the store; each further host up to maxProofRank waits proofStep
+	// longer. All are well below the time limit for withdrawn keys (5 s).
+	proofAge     clock.Millis = 1500
+	proofStep    clock.Millis = 500
+	maxProofRank              = 3
+	// lostTime is the time without an answer of the store after which callers are
+	// sent to other hosts.
+	lostTime clock.Millis = 1500
+	// allowancePart is the part of a rate's slack that the hosts' parts are larger
+	// by; what was admitted beyond the parts uses the rest.
+	allowancePart = 0.4
 	// tickInterval is the pause between rounds of housekeeping.
 	tickInterval = 100 * time.Millisecond
 	// sweepTicks is the number of rounds between sweeps of idle connections.
@@ -65,6 +77,8 @@
 	WithdrawalLimit clock.Millis
 	// Repeats is the fleet's budget of requests sent once more.
 	Repeats rationer.RetryConfig
+	// RateSlack is the number of requests by which a workspace may exceed rate and burst.
+	RateSlack float64
 	// ShiftRate is the largest change a second of the share of a region's requests
 	// that another region serves.
 	ShiftRate float64
@@ -94,6 +108,8 @@
 
 	catalog  atomic.Pointer[cataloger.Catalog]
 	contact  atomic.Int64
+	// storeLostAt is the time since which the store does not answer this host, or 0.
+	storeLostAt atomic.Int64
 	leaving  atomic.Bool
 	sequence atomic.Uint64
 	// known counts the lists that were read: servers, evacuations and hosts.
@@ -107,7 +123,6 @@
 	registrar  *registrar.Registrar
 	evacuated  map[string]bool
 	listsRead  map[string]bool
-	storeLost  bool
 	probing    map[string]bool
 	ticksSwept int
 }
@@ -121,7 +136,7 @@
 	h := &Host{
 		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), events: make(chan func(), eventQueue), ctx: ctx,
 		balancer: balancer.New(balancer.Config{Region: cfg.Region, ShiftRate: cfg.ShiftRate}),
-		rationer: rationer.New(rationer.Config{SilentLife: silent}),
+		rationer: rationer.New(rationer.Config{SilentLife: silent, Allowance: allowancePart * cfg.RateSlack}),
 		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
 		fleet:     newFleet(cfg),
 		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
@@ -221,8 +236,12 @@
 // listsNeeded is the number of lists that a host reads before it is ready.
 const listsNeeded = 3
 
-// Ready reports whether the host can serve callers.
+// Ready reports whether callers should use this host. One that the store does
+// not answer may still serve, but learns of no change.
 func (h *Host) Ready() bool {
+	if lost := clock.Millis(h.storeLostAt.Load()); lost != 0 && h.cfg.Clock.Now()-lost > lostTime {
+		return false
+	}
 	return !h.leaving.Load() && h.catalog.Load() != nil && h.known.Load() >= listsNeeded && h.current()
 }
 
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -4,6 +4,11 @@
 // Each host admits a part of a workspace's rate. The parts follow the demand
 // that the hosts tell each other. A host that falls silent keeps its part until
 // it has certainly stopped admitting, because it may be cut off and still serve.
+//
+// Parts of a small rate are too small for the chance arrival of a request. So
+// each host also follows the fleet's whole bucket, from the numbers of requests
+// that all hosts have admitted, and while that bucket is well filled it admits
+// a request now and then beyond its part.
 package rationer
 
 import (
@@ -21,6 +26,16 @@
 	// startTokens is the part of its burst that a host has when it starts: a
 	// predecessor of the same name may have spent the rest.
 	startTokens = 0.1
+	// pooledLevel is the level of the whole bucket, as a part of the burst, above
+	// which hosts admit beyond their parts.
+	pooledLevel = 0.5
+	// pooledPause is the time in which a host admits one such request. It is about
+	// the age of what the host knows of the others, so that all hosts together
+	// exceed the bucket by at most one request each.
+	pooledPause clock.Millis = 500
+	// freshTime is the age of a report after which a host counts as silent. The
+	// whole bucket is not known while one is.
+	freshTime clock.Millis = 1500
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter clock.Millis = 50
 	maxRetryAfter clock.Millis = 2000
@@ -50,11 +65,21 @@
 	hosts   map[string]*host
 }
 
+// Report is what another host tells of its admissions.
+type Report struct {
+	// Incarnation is the start of the host's process.
+	Incarnation uint64
+	// Demands are its requests a second by workspace, admitted or not.
+	Demands map[string]float64
+	// Admitted are the numbers of requests by workspace that this incarnation has admitted.
+	Admitted map[string]uint64
+}
+
 // host is what another host reported.
 type host struct {
-	at      clock.Millis
-	heard   bool
-	demands map[string]float64
+	Report
+	at    clock.Millis
+	heard bool
 }
 
 type bucket struct {
@@ -63,6 +88,12 @@
 	at     clock.Millis
 	demand float64
 	seen   clock.Millis
+	// level is the estimated level of the fleet's whole bucket.
+	level float64
+	// admitted counts the requests that this host has admitted.
+	admitted uint64
+	// pooledAt is the time of the last admission beyond this host's part.
+	pooledAt clock.Millis
 }
 
 // New returns a rationer without limits.
@@ -77,11 +108,13 @@
 		if b == nil {
 			b = &bucket{at: now, seen: now}
 			b.tokens = startTokens * limit.Burst * r.part(name, b)
+			b.level = startTokens * limit.Burst
 			r.buckets[name] = b
 		}
 		r.fill(name, b, now)
 		b.limit = limit
 		b.tokens = math.Min(b.tokens, r.capacity(name, b))
+		b.level = math.Min(b.level, limit.Burst)
 	}
 	for name := range r.buckets {
 		if _, ok := limits[name]; !ok {
@@ -97,9 +130,27 @@
 	}
 }
 
-// SetHost takes the demands that another host reports.
-func (r *Rationer) SetHost(name string, demands map[string]float64, now clock.Millis) {
-	r.hosts[name] = &host{at: now, heard: true, demands: demands}
+// SetHost takes the report of another host.
+func (r *Rationer) SetHost(name string, report Report, now clock.Millis) {
+	old := r.hosts[name]
+	for workspace, n := range report.Admitted {
+		b := r.buckets[workspace]
+		if b == nil {
+			continue
+		}
+		before := uint64(0)
+		if old != nil && old.heard && old.Incarnation == report.Incarnation {
+			before = old.Admitted[workspace]
+		} else if old == nil || !old.heard {
+			// What was admitted before the first report is in no known window.
+			before = n
+		}
+		if n > before {
+			r.fill(workspace, b, now)
+			b.level -= float64(n - before)
+		}
+	}
+	r.hosts[name] = &host{Report: report, at: now, heard: true}
 }
 
 // RemoveHost forgets a host that said that it has stopped.
@@ -124,6 +175,12 @@
 	b.count(now)
 	if b.tokens >= 1 {
 		b.tokens--
+		b.take()
+		return true, 0
+	}
+	if b.level >= math.Max(1, pooledLevel*b.limit.Burst) && now-b.pooledAt >= pooledPause && r.allFresh(now) {
+		b.pooledAt = now
+		b.take()
 		return true, 0
 	}
 	rate := b.limit.Rate * r.part(workspace, b)
@@ -131,11 +188,30 @@
 	return false, min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// Refund gives back the token of a request that was not sent.
-func (r *Rationer) Refund(workspace string) {
-	if b := r.buckets[workspace]; b != nil {
-		b.tokens++
+func (b *bucket) take() {
+	b.level--
+	b.admitted++
+}
+
+// allFresh reports whether every known host was heard lately.
+func (r *Rationer) allFresh(now clock.Millis) bool {
+	for _, h := range r.hosts {
+		if !h.heard || now-h.at > freshTime {
+			return false
+		}
+	}
+	return true
+}
+
+// Admitted returns the numbers of requests that this host has admitted by workspace.
+func (r *Rationer) Admitted() map[string]uint64 {
+	out := make(map[string]uint64, len(r.buckets))
+	for name, b := range r.buckets {
+		if b.admitted > 0 {
+			out[name] = b.admitted
+		}
 	}
+	return out
 }
 
 // Demands returns the requests a second by workspace at this host.
@@ -167,7 +243,7 @@
 	sum := b.demand
 	for _, h := range r.hosts {
 		if h.heard {
-			sum += h.demands[workspace]
+			sum += h.Demands[workspace]
 		} else {
 			sum += b.demand
 		}
@@ -185,7 +261,9 @@
 
 func (r *Rationer) fill(workspace string, b *bucket, now clock.Millis) {
 	if now > b.at {
-		b.tokens += b.limit.Rate * r.part(workspace, b) * float64(now-b.at) / 1000
+		gained := b.limit.Rate * float64(now-b.at) / 1000
+		b.tokens += r.part(workspace, b) * gained
+		b.level = math.Min(b.level+gained, b.limit.Burst)
 		b.at = now
 	}
 	b.tokens = math.Min(b.tokens, r.capacity(workspace, b))
