--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -70,6 +70,8 @@
 	slots   map[string]float64
 	// weights are the shares of this region's requests by serving region.
 	weights map[string]float64
+	// moving says that the weights move towards their target.
+	moving bool
 	// work is the mean time that a request takes a slot, in milliseconds.
 	work float64
 }
@@ -77,7 +79,7 @@
 func newPool(old *pool) *pool {
 	p := &pool{slots: make(map[string]float64)}
 	if old != nil {
-		p.weights, p.work = old.weights, old.work
+		p.weights, p.work, p.moving = old.weights, old.work, old.moving
 	}
 	return p
 }
--- a/pkg/balancer/shares.go
+++ b/pkg/balancer/shares.go
@@ -16,6 +16,9 @@
 	targetUse = 0.6
 	// evenness is how far above the mean use of all regions a region may be.
 	evenness = 1.1
+	// movingShare is the difference between a share and its target at which it
+	// begins to move, and settledShare the one at which it stops.
+	movingShare, settledShare = 0.15, 0.03
 	// maxStep is the longest time between steps; after a suspension the shares
 	// stay where they are.
 	maxStep = 5 * clock.Second
@@ -111,9 +114,13 @@
 			most = math.Max(most, math.Abs(want[region]-p.weights[region]))
 		}
 	}
-	if most == 0 {
+	// Hysteresis: each change of a share moves objects to servers that must learn
+	// them, so that small differences are not worth one.
+	if most < settledShare || (!p.moving && most < movingShare) {
+		p.moving = false
 		return
 	}
+	p.moving = true
 	part := math.Min(1, cfg.ShiftRate*float64(elapsed)/1000/most)
 	for region := range regions {
 		if _, ok := p.slots[region]; ok {
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -126,7 +126,7 @@
 		e = e.Str("workspace", x.workspace.Name)
 	}
 	if x.choice.Server.ID != "" || x.choice.Refused {
-		e = e.Str("server", x.choice.Server.ID).Int("load", x.choice.Load).Bool("warm", x.choice.Warm).
+		e = e.Str("server", x.choice.Server.ID).Int("load", x.choice.Load).Bool("warm", x.choice.Warm).Bool("known", x.known).Str("region", x.choice.Server.Region).
 			Int64("estimate_ms", int64(x.choice.Estimate))
 	}
 	e.Msg("request")
