Find watches that hear nothing by single questions of one host

Ruled out: shorter watches of each host, whose calls grow with the fleet. Change: the first live host asks for each kind every second; hosts tell each other the revision of the last change they know, and one that is behind asks.

--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -14,9 +14,12 @@
 	Config func(cfg cataloger.Config)
 	// Contact takes a time at which the host knew the newest configuration.
 	Contact func(asOf clock.Millis)
-	// ProofDue reports whether the store should be asked now if there is a newer
-	// configuration.
-	ProofDue func() bool
+	// Known notes that all changes of a kind up to a revision of the store were
+	// handed over; changed says that there were any.
+	Known func(kind string, revision uint64, changed bool)
+	// ChecksDue returns the kinds of which the store should be asked now if there
+	// are changes that a watch has not brought.
+	ChecksDue func() []string
 	// Lost notes that the store does not answer, Regained that it does again.
 	Lost     func(err error)
 	Regained func()
@@ -40,7 +43,7 @@
 		Config:  func(cfg cataloger.Config) { h.do(func() { h.setConfig(cfg) }) },
 		// What is known of the configuration was handed over before.
 		Contact:  h.advanceContact,
-		ProofDue: h.proofDue,
+		Known: h.knowledge.note, ChecksDue: h.checksDue,
 		Lost:     func(err error) { h.do(func() { h.noteStoreLost(err) }) },
 		Regained: func() { h.do(h.noteStoreRegained) },
 		Servers: func(list []registrar.Server) {
@@ -113,13 +116,17 @@
 	}
 }
 
-// proofDue reports whether this host should ask the store. The first live host
-// by name asks most often, and the others learn of its answer; each of the next
-// waits longer, so that one call serves the whole fleet and none is indispensable.
-func (h *Host) proofDue() bool {
+// checksDue returns the kinds of which this host should ask the store. The first
+// live host by name asks most often, and the others learn of its answer; each of
+// the next waits longer, so that one call serves the whole fleet and none is
+// indispensable. A watch that hears nothing is found by what other hosts know.
+func (h *Host) checksDue() []string {
 	now := h.cfg.Clock.Now()
 	rank := min(h.fleet.rank(now), maxProofRank)
-	return now-clock.Millis(h.contact.Load()) >= proofAge+clock.Millis(rank)*proofStep
+	if now-clock.Millis(h.contact.Load()) >= proofAge+clock.Millis(rank)*proofStep {
+		return h.knowledge.kinds()
+	}
+	return h.knowledge.behind(now)
 }
 
 func (h *Host) noteStoreRegained() {
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -190,6 +190,7 @@
 	}
 	r.EchoIncarnation, r.EchoSequence = h.fleet.last(to)
 	h.fleet.sending(r.Sequence, now)
+	r.Revisions = h.knowledge.report()
 	if c := h.catalog.Load(); c != nil {
 		r.ConfigVersion = c.Version()
 	}
@@ -232,6 +233,7 @@
 	if !h.fleet.receive(r, now) {
 		return
 	}
+	h.knowledge.hear(r.GetRevisions(), now)
 	if asOf, ok := h.proof(r); ok {
 		h.advanceContact(asOf)
 	}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -38,8 +38,9 @@
 	defaultSilent = 10 * clock.Second
 	// proofAge is the age of what is known of the configuration at which the first
 	// host asks the store; each further host up to maxProofRank waits proofStep
-	// longer. All are well below the time limit for withdrawn keys (5 s).
-	proofAge     clock.Millis = 1500
+	// longer. A server that leaves must be known within 2.5 s also where no watch
+	// brings it: the age, the next step and an exchange of reports fit into that.
+	proofAge     clock.Millis = 1000
 	proofStep    clock.Millis = 500
 	maxProofRank              = 3
 	// lostTime is the time without an answer of the store after which callers are
@@ -115,6 +116,8 @@
 	// known counts the lists that were read: servers, evacuations and hosts.
 	known   atomic.Int32
 	fleet   *fleet
+	// knowledge tells how current the view of the store is.
+	knowledge *knowledge
 	courier *courier.Courier
 	gossip  *gossiper.Gossiper
 	steerer *steerer.Steerer
@@ -138,7 +141,7 @@
 		balancer: balancer.New(balancer.Config{Region: cfg.Region, ShiftRate: cfg.ShiftRate}),
 		rationer: rationer.New(rationer.Config{SilentLife: silent, Allowance: allowancePart * cfg.RateSlack}),
 		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
-		fleet:     newFleet(cfg),
+		fleet: newFleet(cfg), knowledge: newKnowledge(),
 		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
 		registrar: registrar.New(), evacuated: make(map[string]bool), listsRead: make(map[string]bool),
 		probing: make(map[string]bool),
