--- /dev/null
+++ b/pkg/hoster/hoster_test.go
@@ -0,0 +1,340 @@
+package hoster
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/cataloger"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/meter"
+	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/registrar"
+	"catkindyke/pkg/schema"
+	"catkindyke/pkg/steerer"
+)
+
+// network connects hosts in one process.
+type network struct {
+	clock *clock.Manual
+	mu    sync.Mutex
+	hosts map[string]*Host
+}
+
+// noClient is a client of a host that no call reaches, so that only exchanges
+// that a test makes happen.
+type noClient struct{ schema.DRPCFleetClient }
+
+func (noClient) Exchange(context.Context, *schema.HostReport) (*schema.HostReport, error) {
+	return nil, errors.New("no connection")
+}
+
+func (noClient) DRPCConn() drpc.Conn { return nil }
+
+func withHosts(t *testing.T, names []string, test func(n *network, h map[string]*Host)) {
+	t.Helper()
+	n := &network{clock: &clock.Manual{}, hosts: make(map[string]*Host)}
+	n.clock.Advance(100000)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, name := range names {
+		n.hosts[name] = New(ctx, Config{
+			Name: name, Region: "r" + name[:1], AvailabilityZone: "z" + name[:1], CallerAddress: name + ":1", PeerAddress: name + ":2",
+			Headers: steerer.Headers{}, WithdrawalLimit: 5000, Repeats: rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 50},
+			ShiftRate: 0.02, LookupAge: 2000,
+			DialPeer: func(context.Context, string) schema.DRPCFleetClient { return noClient{} },
+			Clock:    n.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
+		})
+	}
+	test(n, n.hosts)
+}
+
+// exchange makes one exchange of reports, as the gossiper does.
+func exchange(from, to *Host) {
+	report := from.report(to.cfg.Name)
+	to.receive(report, 0)
+	from.receive(to.report(from.cfg.Name), 1)
+}
+
+func configuration(version uint64) cataloger.Config {
+	return cataloger.Config{
+		Version: version, Services: []cataloger.Service{{Name: "desk", ColdTime: 3000, ColdRate: 10}},
+		Routes: []cataloger.Route{{
+			Name: "p", Host: "a", Prefix: "/", Parts: []cataloger.Part{{Service: "desk", Weight: 1}}, Timeout: 800, Objective: 250, Attempts: 2,
+		}},
+		Workspaces: []cataloger.Workspace{{Name: "w", Keys: []string{"k"}, Rate: 10, Burst: 10}},
+	}
+}
+
+// fill gives a host all that it needs to be ready.
+func fill(h *Host, version uint64, servers ...registrar.Server) {
+	f := h.Feed()
+	f.Config(configuration(version))
+	f.Servers(servers)
+	f.Evacuations(nil)
+	f.HostsKnown()
+	f.Contact(h.cfg.Clock.Now())
+}
+
+func server(id, zone string) registrar.Server {
+	return registrar.Server{ID: id, Service: "desk", Address: id, Zone: zone, Region: "r" + zone[1:], Slots: 4}
+}
+
+func assertReady(t *testing.T, step string, h *Host, want bool) {
+	t.Helper()
+	if got := h.Ready(); got != want {
+		t.Errorf("%s: ready is %v, want %v", step, got, want)
+	}
+}
+
+// A host that can't know the newest configuration must stop accepting keys
+// before a withdrawn one has to be out of use, also when it was suspended.
+func TestWithdrawalLimit(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(n *network, h map[string]*Host) {
+		a := h["a1"]
+		assertReady(t, "at the start", a, false)
+		fill(a, 1)
+		assertReady(t, "after all lists", a, true)
+		n.clock.Advance(4300)
+		assertReady(t, "4.3 s after the last contact", a, true)
+		n.clock.Advance(100)
+		assertReady(t, "4.4 s after the last contact", a, false)
+		if a.current() {
+			t.Error("keys are accepted 4.4 s after the last contact")
+		}
+	})
+}
+
+// What another host knows of the configuration counts from when it was known
+// there, however long the report was on its way.
+func TestProofThroughPeers(t *testing.T) {
+	withHosts(t, []string{"a1", "a2"}, func(n *network, h map[string]*Host) {
+		a, b := h["a1"], h["a2"]
+		fill(a, 5)
+		fill(b, 5)
+		exchange(a, b)
+		n.clock.Advance(3000)
+		a.Feed().Contact(n.clock.Clock().Now())
+		exchange(b, a)
+		n.clock.Advance(4000)
+		if !b.current() {
+			t.Error("the proof of the other host does not count")
+		}
+		n.clock.Advance(1000)
+		if b.current() {
+			t.Error("the proof of the other host counts for too long")
+		}
+	})
+	t.Run("a late report", func(t *testing.T) {
+		withHosts(t, []string{"a1", "a2"}, func(n *network, h map[string]*Host) {
+			a, b := h["a1"], h["a2"]
+			fill(a, 5)
+			fill(b, 5)
+			exchange(a, b)
+			late := a.report("a2") // in a socket while b is suspended
+			n.clock.Advance(10000)
+			b.receive(late, 0)
+			if b.current() {
+				t.Error("a report that was 10 s on its way proves contact")
+			}
+		})
+	})
+	t.Run("a newer configuration elsewhere", func(t *testing.T) {
+		withHosts(t, []string{"a1", "a2"}, func(n *network, h map[string]*Host) {
+			a, b := h["a1"], h["a2"]
+			fill(a, 5)
+			fill(b, 5)
+			n.clock.Advance(4000)
+			fill(a, 6)
+			exchange(a, b)
+			exchange(b, a)
+			n.clock.Advance(500)
+			if b.current() {
+				t.Error("a host with version 5 is current by a proof for version 6")
+			}
+		})
+	})
+}
+
+// An older configuration must not replace a newer one.
+func TestConfigurationNeverReverts(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(_ *network, h map[string]*Host) {
+		a := h["a1"]
+		fill(a, 7)
+		a.Feed().Config(configuration(6))
+		if v := a.catalog.Load().Version(); v != 7 {
+			t.Errorf("version %d in force, want 7", v)
+		}
+		bad := configuration(8)
+		bad.Routes[0].Prefix = "x"
+		a.Feed().Config(bad)
+		if v := a.catalog.Load().Version(); v != 7 {
+			t.Errorf("version %d in force after an invalid one, want 7", v)
+		}
+	})
+}
+
+func chosenZones(a *Host) []string {
+	var zones []string
+	for range 50 {
+		c, _ := a.choose(balancer.Request{Service: "desk", Class: "p", Objective: 250, Left: 800})
+		if c.Refused {
+			zones = append(zones, c.Reason)
+			continue
+		}
+		a.done(balancer.Exchange{Choice: c, Class: "p", Result: balancer.Answered, Took: 100})
+		zones = append(zones, c.Server.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// An evacuated zone gets nothing, and is cold when it is taken back.
+func TestEvacuation(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(n *network, h map[string]*Host) {
+		a := h["a1"]
+		fill(a, 1, server("s1", "za"), server("s2", "zb"))
+		a.Feed().Evacuation("za", true)
+		if got := chosenZones(a); !slices.Equal(got, []string{"zb"}) {
+			t.Errorf("zones %v while za is evacuated", got)
+		}
+		a.Feed().Evacuation("za", false)
+		if until := a.registrar.Entries()["s1"].ColdUntil; until != n.clock.Clock().Now()+3000 {
+			t.Errorf("cold until %d, want 3 s from now", until)
+		}
+	})
+}
+
+// A server that reports that it leaves gets no further request.
+func TestDraining(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(_ *network, h map[string]*Host) {
+		a := h["a1"]
+		fill(a, 1, server("s1", "za"))
+		s := server("s1", "za")
+		s.Draining = true
+		a.Feed().Server(s)
+		if got := chosenZones(a); !slices.Equal(got, []string{balancer.ReasonNoServer}) {
+			t.Errorf("choices %v, want none", got)
+		}
+	})
+}
+
+// Look-ups name the hosts of the caller's region that live and are ready.
+func TestLookup(t *testing.T) {
+	withHosts(t, []string{"a1", "a2", "a3", "b1"}, func(n *network, h map[string]*Host) {
+		for _, host := range h {
+			fill(host, 1)
+		}
+		a := h["a1"]
+		h["a3"].Leave()
+		for _, other := range []string{"a2", "a3", "b1"} {
+			exchange(h[other], a)
+		}
+		assertNamed := func(step, region string, want ...string) {
+			t.Helper()
+			got, age := a.Lookup(region, "")
+			if !slices.Equal(got, want) || age != 2000 {
+				t.Errorf("%s: hosts %v for %d ms, want %v", step, got, age, want)
+			}
+		}
+		assertNamed("own region", "ra", "a1:1", "a2:1")
+		assertNamed("other region", "rb", "b1:1")
+		assertNamed("region without hosts", "rc", "a1:1", "a2:1", "b1:1")
+		n.clock.Advance(1600)
+		assertNamed("after 1.6 s of silence", "ra", "a1:1")
+	})
+}
+
+// A host whose store does not answer sends callers elsewhere.
+func TestStoreLost(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(n *network, h map[string]*Host) {
+		a := h["a1"]
+		fill(a, 1)
+		a.Feed().Lost(context.DeadlineExceeded)
+		n.clock.Advance(1600)
+		assertReady(t, "1.6 s without the store", a, false)
+		a.Feed().Regained()
+		assertReady(t, "after its return", a, true)
+	})
+}
+
+// Only the first live host asks the store regularly; the next take over.
+func TestChecks(t *testing.T) {
+	withHosts(t, []string{"a1", "a2"}, func(n *network, h map[string]*Host) {
+		a, b := h["a1"], h["a2"]
+		for _, host := range h {
+			fill(host, 1)
+			host.Feed().Known("servers", 10, true)
+		}
+		exchange(a, b)
+		n.clock.Advance(1000)
+		if len(a.checksDue()) == 0 || len(b.checksDue()) != 0 {
+			t.Errorf("checks of the first host %v and of the second %v", a.checksDue(), b.checksDue())
+		}
+		n.clock.Advance(600)
+		if len(b.checksDue()) == 0 {
+			t.Error("nobody asks for the first host")
+		}
+	})
+}
+
+// A watch that hears nothing was found only when it ended, 25 s later.
+func TestDeafWatchIsFound(t *testing.T) {
+	withHosts(t, []string{"a1", "a2"}, func(n *network, h map[string]*Host) {
+		a, b := h["a1"], h["a2"]
+		for _, host := range h {
+			fill(host, 1)
+			host.Feed().Known("servers", 10, true)
+		}
+		a.Feed().Known("servers", 12, true)
+		exchange(a, b)
+		if due := b.checksDue(); len(due) != 0 {
+			t.Errorf("checks %v before the watch had its time", due)
+		}
+		n.clock.Advance(behindTime)
+		if due := b.checksDue(); !slices.Equal(due, []string{"servers"}) {
+			t.Errorf("checks %v, want servers", due)
+		}
+		b.Feed().Known("servers", 12, true)
+		if due := b.checksDue(); len(due) != 0 {
+			t.Errorf("checks %v after the change is known", due)
+		}
+	})
+}
+
+// Split parts hold in every short run of requests.
+func TestPickIsEven(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(_ *network, h map[string]*Host) {
+		first := 0
+		for range 100 {
+			if h["a1"].pick("p") < 0.9 {
+				first++
+			}
+		}
+		if first < 88 || first > 92 {
+			t.Errorf("%d of 100 requests for a part of 90 %%", first)
+		}
+	})
+}
+
+// The control goroutine ends with its context, and no call blocks after it.
+func TestStops(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := New(ctx, Config{Name: "a1", Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
+		DialPeer: func(context.Context, string) schema.DRPCFleetClient { return noClient{} }})
+	cancel()
+	done := make(chan struct{})
+	go func() { h.do(func() {}); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("a change blocks after the end")
+	}
+}
