--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -37,6 +37,15 @@
 	// crowding is the part of the work time by which a fully used server is
 	// thought to be later, because reports of other hosts are under way.
 	crowding = 0.1
+	// waitPart is the part of the time until the objective that a request may wait
+	// for a slot; the rest covers what estimates miss.
+	waitPart = 0.9
+	// minPatience is the wait, in turns of a slot, of requests that are late anyhow.
+	minPatience = 0.5
+	// rankStep is the part of its patience that each rank of urgency costs, down to minUrgency.
+	rankStep, minUrgency = 0.15, 0.5
+	// maxUse is the part of the time left in which an answer must be expected.
+	maxUse = 0.95
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter clock.Millis = 100
 	maxRetryAfter clock.Millis = 2000
@@ -70,6 +79,8 @@
 	Objective clock.Millis
 	// Left is the time left in which an answer is of any use.
 	Left clock.Millis
+	// Rank orders requests when there is no room for all; 0 is the most urgent.
+	Rank float64
 }
 
 // Choice is a decision.
@@ -213,8 +224,9 @@
 type candidate struct {
 	s        *server
 	warm     bool
-	estimate float64
-	load     int
+	// estimate is the time until an answer, and wait the part of it before the work begins.
+	estimate, wait float64
+	load           int
 }
 
 // Choose decides where a request goes. The caller calls Start when it sends
@@ -240,9 +252,9 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
 	}
 	choice := Choice{Server: best.s.Server, Warm: best.warm, Load: best.load, Estimate: clock.Millis(best.estimate)}
-	if limit := patience(req); best.estimate > limit {
+	if limit := patience(req, c, best); best.wait > limit || best.estimate > maxUse*float64(req.Left) {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
-		choice.RetryAfter = retryAfter(best.estimate - limit + c.warm)
+		choice.RetryAfter = retryAfter(best.wait - limit + c.warm)
 	}
 	return choice
 }
@@ -257,9 +269,15 @@
 	return objectHash(req)
 }
 
-// patience is the longest estimate with which a request is still sent.
-func patience(req Request) float64 {
-	return min(float64(req.Left)*0.9, max(float64(req.Objective)*1.5, float64(req.Left)*0.5))
+// patience is the longest wait for a slot with which a request is still sent.
+//
+// It answers demand beyond the slots. If every request waited as long as its
+// caller does, all answers would come late; with short waits those that are
+// served are served in time, and the others are refused at once. What is late
+// anyhow waits for a part of a turn only. Less urgent requests give way first.
+func patience(req Request, c *class, best *candidate) float64 {
+	room := float64(req.Objective) - (best.estimate - best.wait)
+	return math.Max(minPatience*c.warm, waitPart*room) * math.Max(minUrgency, 1-rankStep*req.Rank)
 }
 
 func retryAfter(ms float64) clock.Millis {
@@ -303,7 +321,7 @@
 	work *= s.slowness
 	wait := c.wait(s, load)
 	crowd := crowding * work * math.Min(1, float64(load)/float64(s.Slots))
-	return candidate{s: s, warm: warm, load: load, estimate: b.trip(s.Region) + wait + work + crowd}
+	return candidate{s: s, warm: warm, load: load, wait: wait, estimate: b.trip(s.Region) + wait + work + crowd}
 }
 
 // wait is the time until a server's slot is free for one more request.
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -40,10 +40,10 @@
 // Feed returns the functions through which the host learns from the store.
 func (h *Host) Feed() Feed {
 	return Feed{
-		Config:  func(cfg cataloger.Config) { h.do(func() { h.setConfig(cfg) }) },
+		Config: func(cfg cataloger.Config) { h.do(func() { h.setConfig(cfg) }) },
 		// What is known of the configuration was handed over before.
-		Contact:  h.advanceContact,
-		Known: h.knowledge.note, ChecksDue: h.checksDue,
+		Contact: h.advanceContact,
+		Known:   h.knowledge.note, ChecksDue: h.checksDue,
 		Lost:     func(err error) { h.do(func() { h.noteStoreLost(err) }) },
 		Regained: func() { h.do(h.noteStoreRegained) },
 		Servers: func(list []registrar.Server) {
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -48,7 +48,7 @@
 	lostTime clock.Millis = 1500
 	// allowancePart is the part of a rate's slack that the hosts' parts are larger
 	// by; what was admitted beyond the parts uses the rest.
-	allowancePart = 0.4
+	allowancePart = 0.2
 	// tickInterval is the pause between rounds of housekeeping.
 	tickInterval = 100 * time.Millisecond
 	// sweepTicks is the number of rounds between sweeps of idle connections.
@@ -107,20 +107,20 @@
 	repeats  *rationer.Retries
 	splits   map[string]float64
 
-	catalog  atomic.Pointer[cataloger.Catalog]
-	contact  atomic.Int64
+	catalog atomic.Pointer[cataloger.Catalog]
+	contact atomic.Int64
 	// storeLostAt is the time since which the store does not answer this host, or 0.
 	storeLostAt atomic.Int64
-	leaving  atomic.Bool
-	sequence atomic.Uint64
+	leaving     atomic.Bool
+	sequence    atomic.Uint64
 	// known counts the lists that were read: servers, evacuations and hosts.
-	known   atomic.Int32
-	fleet   *fleet
+	known atomic.Int32
+	fleet *fleet
 	// knowledge tells how current the view of the store is.
 	knowledge *knowledge
-	courier *courier.Courier
-	gossip  *gossiper.Gossiper
-	steerer *steerer.Steerer
+	courier   *courier.Courier
+	gossip    *gossiper.Gossiper
+	steerer   *steerer.Steerer
 
 	// The control goroutine alone uses these.
 	registrar  *registrar.Registrar
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -327,8 +327,10 @@
 // The control goroutine ends with its context, and no call blocks after it.
 func TestStops(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := New(ctx, Config{Name: "a1", Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
-		DialPeer: func(context.Context, string) schema.DRPCFleetClient { return noClient{} }})
+	h := New(ctx, Config{
+		Name: "a1", Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
+		DialPeer: func(context.Context, string) schema.DRPCFleetClient { return noClient{} },
+	})
 	cancel()
 	done := make(chan struct{})
 	go func() { h.do(func() {}); close(done) }()
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -33,9 +33,13 @@
 	// the age of what the host knows of the others, so that all hosts together
 	// exceed the bucket by at most one request each.
 	pooledPause clock.Millis = 500
-	// freshTime is the age of a report after which a host counts as silent. The
-	// whole bucket is not known while one is.
-	freshTime clock.Millis = 1500
+	// A host counts as silent when no report came for silentRounds of its usual
+	// pauses and silentSlack more. Parts do not grow while one is: it may be cut
+	// off, and have the same reason to grow.
+	silentRounds              = 3
+	silentSlack  clock.Millis = 150
+	// pauseWeight is the weight of one pause between reports in the usual one.
+	pauseWeight = 0.2
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter clock.Millis = 50
 	maxRetryAfter clock.Millis = 2000
@@ -80,6 +84,8 @@
 	Report
 	at    clock.Millis
 	heard bool
+	// pause is the usual time between reports.
+	pause float64
 }
 
 type bucket struct {
@@ -92,6 +98,8 @@
 	level float64
 	// admitted counts the requests that this host has admitted.
 	admitted uint64
+	// agreed is the part at the last time at which no host was silent.
+	agreed float64
 	// pooledAt is the time of the last admission beyond this host's part.
 	pooledAt clock.Millis
 }
@@ -106,14 +114,14 @@
 	for name, limit := range limits {
 		b := r.buckets[name]
 		if b == nil {
-			b = &bucket{at: now, seen: now}
-			b.tokens = startTokens * limit.Burst * r.part(name, b)
+			b = &bucket{at: now, seen: now, agreed: 1 / float64(len(r.hosts)+1)}
+			b.tokens = startTokens * limit.Burst * b.agreed
 			b.level = startTokens * limit.Burst
 			r.buckets[name] = b
 		}
 		r.fill(name, b, now)
 		b.limit = limit
-		b.tokens = math.Min(b.tokens, r.capacity(name, b))
+		b.tokens = math.Min(b.tokens, r.capacity(b, b.agreed))
 		b.level = math.Min(b.level, limit.Burst)
 	}
 	for name := range r.buckets {
@@ -150,7 +158,14 @@
 			b.level -= float64(n - before)
 		}
 	}
-	r.hosts[name] = &host{Report: report, at: now, heard: true}
+	h := &host{Report: report, at: now, heard: true}
+	if old != nil && old.heard {
+		h.pause = old.pause
+		if old.pause == 0 || old.fresh(now) {
+			h.pause += pauseWeight * (float64(now-old.at) - old.pause)
+		}
+	}
+	r.hosts[name] = h
 }
 
 // RemoveHost forgets a host that said that it has stopped.
@@ -183,7 +198,7 @@
 		b.take()
 		return true, 0
 	}
-	rate := b.limit.Rate * r.part(workspace, b)
+	rate := b.limit.Rate * b.agreed
 	wait := clock.Millis(math.Ceil((1 - b.tokens) / math.Max(rate, 0.01) * 1000))
 	return false, min(max(wait, minRetryAfter), maxRetryAfter)
 }
@@ -196,13 +211,18 @@
 // allFresh reports whether every known host was heard lately.
 func (r *Rationer) allFresh(now clock.Millis) bool {
 	for _, h := range r.hosts {
-		if !h.heard || now-h.at > freshTime {
+		if !h.heard || !h.fresh(now) {
 			return false
 		}
 	}
 	return true
 }
 
+// fresh reports whether the host's next report is not overdue.
+func (h *host) fresh(now clock.Millis) bool {
+	return now-h.at <= silentSlack+clock.Millis(silentRounds*h.pause)
+}
+
 // Admitted returns the numbers of requests that this host has admitted by workspace.
 func (r *Rationer) Admitted() map[string]uint64 {
 	out := make(map[string]uint64, len(r.buckets))
@@ -238,7 +258,17 @@
 }
 
 // part is this host's part of a workspace's rate, from 0 to 1.
-func (r *Rationer) part(workspace string, b *bucket) float64 {
+func (r *Rationer) part(workspace string, b *bucket, now clock.Millis) float64 {
+	part := r.wanted(workspace, b)
+	if len(r.hosts) > 0 && !r.allFresh(now) {
+		part = math.Min(part, math.Max(b.agreed, equalPart/float64(len(r.hosts)+1)))
+	}
+	b.agreed = part
+	return part
+}
+
+// wanted is the part that follows the demands as they are known.
+func (r *Rationer) wanted(workspace string, b *bucket) float64 {
 	n := float64(len(r.hosts) + 1)
 	sum := b.demand
 	for _, h := range r.hosts {
@@ -254,17 +284,18 @@
 	return equalPart/n + (1-equalPart)*b.demand/sum
 }
 
-func (r *Rationer) capacity(workspace string, b *bucket) float64 {
-	allowance := r.cfg.Allowance / float64(len(r.hosts)+1)
-	return math.Max(1, b.limit.Burst*r.part(workspace, b)+allowance)
+// capacity is the number of tokens that this host may hold with a part.
+func (r *Rationer) capacity(b *bucket, part float64) float64 {
+	return math.Max(1, b.limit.Burst*part+r.cfg.Allowance/float64(len(r.hosts)+1))
 }
 
 func (r *Rationer) fill(workspace string, b *bucket, now clock.Millis) {
+	part := r.part(workspace, b, now)
 	if now > b.at {
 		gained := b.limit.Rate * float64(now-b.at) / 1000
-		b.tokens += r.part(workspace, b) * gained
+		b.tokens += part * gained
 		b.level = math.Min(b.level+gained, b.limit.Burst)
 		b.at = now
 	}
-	b.tokens = math.Min(b.tokens, r.capacity(workspace, b))
+	b.tokens = math.Min(b.tokens, r.capacity(b, part))
 }
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -21,7 +21,7 @@
 func newFleet(n int, limit Limit) *fleet {
 	f := &fleet{now: 100000, cut: make(map[int]bool)}
 	for i := range n {
-		r := New(Config{SilentLife: 6500, Allowance: 8})
+		r := New(Config{SilentLife: 6500, Allowance: 4})
 		for j := range n {
 			if j != i {
 				r.AddHost(name(j), f.now)
--- a/pkg/rationer/retries.go
+++ b/pkg/rationer/retries.go
@@ -7,9 +7,9 @@
 	// enough for windows of up to 15 s.
 	retryBin  clock.Millis = 500
 	retryBins int64        = 32
-	// retryMargin keeps the fleet's sum of repeats under the budget although the
-	// hosts' windows begin at different times.
-	retryMargin = 0.8
+	// retryMargin keeps the fleet's sum of repeats under the budget although
+	// requests arrive at servers later than they are counted.
+	retryMargin = 0.9
 )
 
 // RetryConfig is the fleet-wide budget of requests that are sent once more.
@@ -49,13 +49,15 @@
 func (r *Retries) Allow(service string, hosts int, now clock.Millis) bool {
 	c := r.at(service, now)
 	var requests, repeats float64
-	for i := int64(0); i < min(int64(r.cfg.Window/retryBin), retryBins-1); i++ {
-		if c.bin-i < 0 {
-			break
-		}
+	// The first bin is incomplete: repeats are counted over one bin more, and
+	// requests over one less, than the window has.
+	bins := min(int64(r.cfg.Window/retryBin), retryBins-2)
+	for i := int64(0); i <= bins && i <= c.bin; i++ {
 		k := (c.bin - i) % retryBins
-		requests += c.requests[k]
 		repeats += c.repeats[k]
+		if i < bins {
+			requests += c.requests[k]
+		}
 	}
 	limit := retryMargin * (r.cfg.Ratio*requests + r.cfg.Slack/float64(max(1, hosts)))
 	if repeats+1 > limit {
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -300,6 +300,7 @@
 		Service: x.service, Class: x.route.Name, Object: x.object(s.cfg.Headers.Object),
 		Homes: cataloger.Homes(x.route, x.workspace), Tried: x.tried,
 		Objective: x.route.Objective - (s.cfg.Clock.Now() - x.start), Left: left,
+		Rank: x.rank(),
 	})
 	if x.choice.Refused {
 		return &refusal{http.StatusServiceUnavailable, x.choice.Reason, x.choice.RetryAfter}
@@ -307,6 +308,19 @@
 	return nil
 }
 
+// routeRank is the weight of a route's rank beside that of the workspace, which
+// goes first.
+const routeRank = 0.1
+
+// rank is the urgency of the request; 0 is the most urgent.
+func (x *exchange) rank() float64 {
+	rank := routeRank * float64(x.route.Rank)
+	if x.workspace != nil {
+		rank += float64(x.workspace.Rank)
+	}
+	return rank
+}
+
 func (x *exchange) object(name string) string {
 	if !x.route.Sticky {
 		return ""
