--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -38,10 +38,11 @@
 	// thought to be later, because reports of other hosts are under way.
 	crowding = 0.1
 	// waitPart is the part of the time until the objective that a request may wait
-	// for a slot; the rest covers what estimates miss.
-	waitPart = 0.9
-	// minPatience is the wait, in turns of a slot, of requests that are late anyhow.
-	minPatience = 0.5
+	// for a slot. Estimates err on the long side.
+	waitPart = 1.3
+	// latePart is the part of the time left within which an answer is expected to a
+	// request that is late anyhow.
+	latePart = 0.6
 	// rankStep is the part of its patience that each rank of urgency costs, down to minUrgency.
 	rankStep, minUrgency = 0.15, 0.5
 	// maxUse is the part of the time left in which an answer must be expected.
@@ -252,7 +253,7 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
 	}
 	choice := Choice{Server: best.s.Server, Warm: best.warm, Load: best.load, Estimate: clock.Millis(best.estimate)}
-	if limit := patience(req, c, best); best.wait > limit || best.estimate > maxUse*float64(req.Left) {
+	if limit := patience(req, best); best.wait > math.Max(0, limit) || best.estimate > maxUse*float64(req.Left) {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
 		choice.RetryAfter = retryAfter(best.wait - limit + c.warm)
 	}
@@ -273,11 +274,17 @@
 //
 // It answers demand beyond the slots. If every request waited as long as its
 // caller does, all answers would come late; with short waits those that are
-// served are served in time, and the others are refused at once. What is late
-// anyhow waits for a part of a turn only. Less urgent requests give way first.
-func patience(req Request, c *class, best *candidate) float64 {
-	room := float64(req.Objective) - (best.estimate - best.wait)
-	return math.Max(minPatience*c.warm, waitPart*room) * math.Max(minUrgency, 1-rankStep*req.Rank)
+// served are served in time, and the others are refused at once. Requests that
+// are late anyhow, because a server must learn their object, wait longer: after
+// them the object is fast. Less urgent requests give way first.
+func patience(req Request, best *candidate) float64 {
+	work := best.estimate - best.wait
+	room := float64(req.Objective) - work
+	limit := waitPart * room
+	if room <= 0 || !best.warm {
+		limit = math.Max(limit, latePart*float64(req.Left)-work)
+	}
+	return limit * math.Max(minUrgency, 1-rankStep*req.Rank)
 }
 
 func retryAfter(ms float64) clock.Millis {
