--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -37,12 +37,9 @@
 	// crowding is the part of the work time by which a fully used server is
 	// thought to be later, because reports of other hosts are under way.
 	crowding = 0.1
-	// waitPart is the part of the time until the objective that a request may wait
-	// for a slot. Estimates err on the long side.
-	waitPart = 1.3
-	// latePart is the part of the time left within which an answer is expected to a
-	// request that is late anyhow.
-	latePart = 0.6
+	// lateObjectives and latePart bound the estimate of requests that are sent: in
+	// terms of their objective, and of the time left.
+	lateObjectives, latePart = 1.5, 0.75
 	// rankStep is the part of its patience that each rank of urgency costs, down to minUrgency.
 	rankStep, minUrgency = 0.15, 0.5
 	// maxUse is the part of the time left in which an answer must be expected.
@@ -272,19 +269,13 @@
 
 // patience is the longest wait for a slot with which a request is still sent.
 //
-// It answers demand beyond the slots. If every request waited as long as its
-// caller does, all answers would come late; with short waits those that are
-// served are served in time, and the others are refused at once. Requests that
-// are late anyhow, because a server must learn their object, wait longer: after
-// them the object is fast. Less urgent requests give way first.
+// It answers demand beyond the slots. Without a limit the queues would grow
+// until every answer comes at the end of its caller's time. The limit leaves
+// room for answers that are late and still of use; what would come later is
+// refused at once. Less urgent requests give way first.
 func patience(req Request, best *candidate) float64 {
-	work := best.estimate - best.wait
-	room := float64(req.Objective) - work
-	limit := waitPart * room
-	if room <= 0 || !best.warm {
-		limit = math.Max(limit, latePart*float64(req.Left)-work)
-	}
-	return limit * math.Max(minUrgency, 1-rankStep*req.Rank)
+	limit := math.Max(lateObjectives*float64(req.Objective), latePart*float64(req.Left))
+	return (limit - (best.estimate - best.wait)) * math.Max(minUrgency, 1-rankStep*req.Rank)
 }
 
 func retryAfter(ms float64) clock.Millis {
