Let callers that come back go first, and spread their return

Cause: refused callers came back together and were refused again. Change: a request with less time than its route's callers usually give waits longer for a slot; Retry-After varies by 30 %.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -40,6 +40,10 @@
 	// lateObjectives and latePart bound the estimate of requests that are sent: in
 	// terms of their objective, and of the time left.
 	lateObjectives, latePart = 1.5, 0.6
+	// returnPatience is how much longer a caller that comes back may wait than others.
+	returnPatience = 1.4
+	// retrySpread is the part by which advice to refused callers varies.
+	retrySpread = 0.3
 	// rankStep is the part of its patience that each rank of urgency costs, down to minUrgency.
 	rankStep, minUrgency = 0.15, 0.5
 	// maxUse is the part of the time left in which an answer must be expected.
@@ -79,6 +83,9 @@
 	Left clock.Millis
 	// Rank orders requests when there is no room for all; 0 is the most urgent.
 	Rank float64
+	// Stated is the time that the caller gave the request, 0 when it named none. A
+	// caller that comes back after a refusal has less of it than others.
+	Stated clock.Millis
 }
 
 // Choice is a decision.
@@ -250,13 +257,24 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
 	}
 	choice := Choice{Server: best.s.Server, Warm: best.warm, Load: best.load, Estimate: clock.Millis(best.estimate)}
-	if limit := patience(req, best); best.wait > math.Max(0, limit) || best.estimate > maxUse*float64(req.Left) {
+	limit := patience(req, best)
+	if c.comesBack(req) {
+		limit *= returnPatience
+	}
+	if best.wait > math.Max(0, limit) || best.estimate > maxUse*float64(req.Left) {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
-		choice.RetryAfter = retryAfter(best.wait - limit + c.warm)
+		choice.RetryAfter = retryAfter((best.wait - limit + c.warm) * b.spread())
 	}
 	return choice
 }
 
+// spread is a factor around 1 that differs from refusal to refusal, so that
+// callers who are refused together do not come back together.
+func (b *Balancer) spread() float64 {
+	b.turn++
+	return 1 + retrySpread*(2*unit(mix(b.turn))-1)
+}
+
 // seed is the hash by which an object's servers are ranked. Requests without
 // an object are spread.
 func (b *Balancer) seed(req Request) uint64 {
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -24,6 +24,26 @@
 	// warm and cold are the times of the work at a server that holds the object
 	// and at one that does not, in milliseconds.
 	warm, cold float64
+	// usual is the time that callers give their first requests, in milliseconds.
+	usual float64
+}
+
+const (
+	// usualLife is the number of requests over which a longer time is remembered.
+	usualLife = 500.0
+	// returnPart is the part of the usual time below which a request is taken for
+	// one that comes back.
+	returnPart = 0.95
+)
+
+// comesBack reports whether a caller seems to come back after a refusal.
+func (c *class) comesBack(req Request) bool {
+	stated := float64(req.Stated)
+	if stated <= 0 {
+		return false
+	}
+	c.usual = math.Max(stated, c.usual*(1-1/usualLife))
+	return stated < returnPart*c.usual
 }
 
 func (b *Balancer) class(req Request) *class {
@@ -99,8 +119,7 @@
 			continue
 		}
 		weight := math.Max(p.weights[s.Region], minWeight) * float64(s.Slots) / p.slots[s.Region]
-		u := (float64(mix(seed^s.hash())>>11) + 0.5) / (1 << 53)
-		s.score = -weight / math.Log(u)
+		s.score = -weight / math.Log(unit(mix(seed^s.hash())))
 		out = append(out, s)
 	}
 	slices.SortFunc(out, byScore)
@@ -111,6 +130,9 @@
 	return xxhash.Sum64String(req.Class + "\x00" + req.Object)
 }
 
+// unit converts a hash to a number above 0 and below 1.
+func unit(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
+
 // mix is the finalizer of splitmix64, which spreads the bits of a combined hash.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -110,6 +110,8 @@
 	start     clock.Millis
 	// limit is the time from the start until which an answer must be given.
 	limit clock.Millis
+	// stated is the time that the caller gave, 0 when it named none.
+	stated clock.Millis
 	body  []byte
 	// stream is set for a body that is too large to be held.
 	stream io.Reader
@@ -204,7 +206,8 @@
 	if err != nil || ms <= 0 {
 		return false
 	}
-	x.limit = min(x.limit, clock.Millis(ms))
+	x.stated = clock.Millis(ms)
+	x.limit = min(x.limit, x.stated)
 	return true
 }
 
@@ -300,7 +303,7 @@
 		Service: x.service, Class: x.route.Name, Object: x.object(s.cfg.Headers.Object),
 		Homes: cataloger.Homes(x.route, x.workspace), Tried: x.tried,
 		Objective: x.route.Objective - (s.cfg.Clock.Now() - x.start), Left: left,
-		Rank: x.rank(),
+		Rank: x.rank(), Stated: x.stated,
 	})
 	if x.choice.Refused {
 		return &refusal{http.StatusServiceUnavailable, x.choice.Reason, x.choice.RetryAfter}
