--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -89,13 +89,14 @@
 	watchReloads(running, log)
 	dial := dialer.New(dialer.Config{})
 	clk := clock.NewBoot()
+	metrics := meter.New()
 	h := hoster.New(running, hoster.Config{
 		Name: settings.Host, Region: settings.Region, AvailabilityZone: settings.AvailabilityZone,
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
 		Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
 		Repeats:   rationer.RetryConfig{Ratio: settings.RepeatRatio, Window: settings.RepeatWindow, Slack: settings.RepeatSlack},
 		RateSlack: settings.RateSlack, ShiftRate: shiftPart * settings.MaxShift / 2,
-		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: meter.New(),
+		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: metrics,
 	})
 	client := platform.NewClient(settings.StoreAddress)
 	follower := platform.NewFollower(platform.FollowerConfig{
@@ -119,7 +120,7 @@
 	}()
 	go follower.Run(running)
 	go follower.Announce(running, settings.Host, settings.PeerAddress, settings.Region)
-	servers, err := listenHTTP(settings, h, log)
+	servers, err := listenHTTP(settings, h, metrics, log)
 	if err != nil {
 		return err
 	}
@@ -151,9 +152,9 @@
 	}()
 }
 
-// listenHTTP opens the listeners for callers, look-ups and readiness; the
+// listenHTTP opens the listeners for callers, look-ups, readiness and metrics; the
 // first server returned is that of callers.
-func listenHTTP(settings platform.Settings, h *hoster.Host, log zerolog.Logger) ([]*http.Server, error) {
+func listenHTTP(settings platform.Settings, h *hoster.Host, metrics *meter.Meter, log zerolog.Logger) ([]*http.Server, error) {
 	handlers := []struct {
 		address string
 		handler http.Handler
@@ -161,6 +162,7 @@
 		{settings.CallerAddress, h.Steerer()},
 		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) })},
 		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready)},
+		{settings.MetricsAddress, platform.MetricsHandler(metrics.WriteText)},
 	}
 	var servers []*http.Server
 	for _, l := range handlers {
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -137,6 +137,11 @@
 	Abandoned
 )
 
+// String names the result in logs and metrics.
+func (r Result) String() string {
+	return [...]string{"answered", "failed", "shed", "unreachable", "abandoned"}[r]
+}
+
 // Start notes that a request is sent to the chosen server. It returns whether
 // this host knows that the server holds the object.
 func (b *Balancer) Start(c Choice, req Request, now clock.Millis) (known bool) {
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -101,6 +101,7 @@
 	h.rationer.SetLimits(limits, h.cfg.Clock.Now())
 	h.mu.Unlock()
 	h.catalog.Store(c)
+	h.cfg.Meter.Set("config_version", int64(cfg.Version))
 	h.cfg.Log.Info().Uint64("config_version", cfg.Version).Int("routes", len(cfg.Routes)).
 		Int("workspaces", len(cfg.Workspaces)).Msg("configuration_in_force")
 	h.publishServers()
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -20,6 +20,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/gossiper"
+	"catkindyke/pkg/logger"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/registrar"
@@ -154,7 +155,8 @@
 	h.steerer = steerer.New(steerer.Config{
 		Headers: cfg.Headers, Catalog: h.catalog.Load, Current: h.current, Admit: h.admit,
 		Choose: h.choose, Done: h.done, CountRequest: h.countRequest, AllowRepeat: h.allowRepeat,
-		Send: h.courier.Send, Pick: h.pick, Leaving: h.leaving.Load, Clock: cfg.Clock, Log: cfg.Log, Meter: cfg.Meter,
+		Send: h.courier.Send, Pick: h.pick, Leaving: h.leaving.Load, Clock: cfg.Clock, Meter: cfg.Meter,
+		Log: logger.Bounded(cfg.Log, func() { cfg.Meter.Add("log_lines_left_out", 1) }),
 	})
 	for _, address := range cfg.SeedPeers {
 		h.gossip.AddPeer(address)
@@ -216,6 +218,9 @@
 	for _, s := range suspects {
 		h.probe(s)
 	}
+	h.cfg.Meter.Set("hosts_live", int64(h.fleet.size(now)))
+	h.cfg.Meter.Set("config_age_ms", int64(now)-h.contact.Load())
+	h.cfg.Meter.Set("servers", int64(len(h.registrar.Entries())))
 	if h.ticksSwept++; h.ticksSwept >= sweepTicks {
 		h.ticksSwept = 0
 		entries := h.registrar.Entries()
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -74,6 +74,7 @@
 	}
 	x.w.WriteHeader(answer.Status)
 	s.cfg.Meter.Add("answers", 1)
+	s.cfg.Meter.Observe("answer_ms", int64(s.cfg.Clock.Now()-x.start))
 	s.log(x, answer.Status, "answered")
 	if answer.Stream == nil {
 		// The caller may be gone; there is nobody else to tell.
@@ -99,6 +100,7 @@
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	s.cfg.Meter.Add("refused_"+ref.reason, 1)
+	s.cfg.Meter.Observe("refusal_ms", int64(s.cfg.Clock.Now()-x.start))
 	s.log(x, ref.status, ref.reason)
 	x.w.WriteHeader(ref.status)
 	_, _ = io.WriteString(x.w, ref.reason+"\n")
@@ -138,6 +140,7 @@
 	if answer != nil {
 		status = answer.Status
 	}
-	s.cfg.Log.Warn().Str("request", x.id).Str("server", x.choice.Server.ID).Int("result", int(res)).
+	s.cfg.Meter.Add("attempts_"+res.String(), 1)
+	s.cfg.Log.Warn().Str("request", x.id).Str("server", x.choice.Server.ID).Str("result", res.String()).
 		Int("status", status).Err(err).Int("load", x.choice.Load).Int64("left_ms", int64(s.left(x))).Msg("attempt_failed")
 }
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -112,7 +112,7 @@
 	limit clock.Millis
 	// stated is the time that the caller gave, 0 when it named none.
 	stated clock.Millis
-	body  []byte
+	body   []byte
 	// stream is set for a body that is too large to be held.
 	stream io.Reader
 	tried  []string
