--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -230,3 +230,28 @@
 		}
 	})
 }
+
+// A server that falls silent keeps its connections open: each request to it
+// takes its whole time, and the next ones went there, too.
+func TestSilentServerIsChecked(t *testing.T) {
+	withBalancer("n", servers("n", 4, 4), func(b *Balancer) {
+		done := func(id string, took clock.Millis) {
+			c := Choice{Server: b.servers[id].Server, Estimate: 200}
+			b.Done(Exchange{Choice: c, Class: "look", Result: TimedOut, Took: took}, 1000)
+		}
+		done("n0", 300)
+		if len(b.Unreachable()) != 0 {
+			t.Error("a server is checked after one and a half estimates")
+		}
+		for _, id := range []string{"n0", "n1", "n2", "n3"} {
+			done(id, 800)
+		}
+		if n := len(b.Unreachable()); n != 2 {
+			t.Errorf("%d of 4 servers are out of use, want 2: the others may only be slow", n)
+		}
+		b.Probed("n0")
+		if b.servers["n0"].down(1000) {
+			t.Error("a server that is healthy again gets nothing")
+		}
+	})
+}
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -30,6 +30,9 @@
 	// handled, and maxHeld the number of objects noted for each server.
 	heldTime = 15 * clock.Second
 	maxHeld  = 512
+	// silentEstimates is the number of estimates after which a server without an
+	// answer is checked.
+	silentEstimates = 2
 	// workWeight is the weight of one answer in the mean work of a service.
 	workWeight = 0.02
 )
@@ -133,13 +136,15 @@
 	Shed
 	// Unreachable means that the connection failed.
 	Unreachable
-	// Abandoned means that the caller or the deadline ended the exchange.
+	// Abandoned means that the caller ended the exchange.
 	Abandoned
+	// TimedOut means that the time limit ended the exchange.
+	TimedOut
 )
 
 // String names the result in logs and metrics.
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "shed", "unreachable", "abandoned"}[r]
+	return [...]string{"answered", "failed", "shed", "unreachable", "abandoned", "timed_out"}[r]
 }
 
 // Start notes that a request is sent to the chosen server. It returns whether
@@ -187,6 +192,12 @@
 		s.failures += outcomeWeight * (1 - s.failures)
 	case Unreachable:
 		s.unreachable = true
+	case TimedOut:
+		// A server that fell silent keeps its connections open. A health check tells
+		// it from one that is only slow.
+		if x.Took > silentEstimates*x.Choice.Estimate && b.mayEject(s, now) {
+			s.unreachable = true
+		}
 	case Shed, Abandoned:
 	}
 	if s.failures > ejectionRate && b.mayEject(s, now) {
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -278,6 +278,9 @@
 		case res == balancer.Answered:
 			return answer, nil
 		case res == balancer.Abandoned:
+			// Nobody reads the answer; the reason is for the log.
+			return nil, &refusal{http.StatusGatewayTimeout, "caller_left", 0}
+		case res == balancer.TimedOut:
 			return nil, &refusal{http.StatusGatewayTimeout, "timeout", 0}
 		}
 		if answer != nil && res == balancer.Failed {
@@ -334,6 +337,8 @@
 // result classifies how an attempt ended.
 func (s *Steerer) result(ctx context.Context, answer *courier.Answer, err error) balancer.Result {
 	switch {
+	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balancer.TimedOut
 	case err != nil && ctx.Err() != nil:
 		return balancer.Abandoned
 	case err != nil:
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -336,3 +336,20 @@
 		}
 	})
 }
+
+// A caller that gives up is told apart from a time limit in the log, and its
+// request is not sent again.
+func TestCallerLeaves(t *testing.T) {
+	withSteerer(t, func(f *fixture) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f.reply = func(int) (*courier.Answer, error) {
+			cancel()
+			return nil, courier.ErrNoAnswer
+		}
+		w := call(f, http.MethodGet, "/look/1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		assertAnswer(t, "caller left", w, 504, 1, f)
+		if got := f.steerer.cfg.Meter.Get("refused_caller_left"); got != 1 {
+			t.Errorf("%d requests whose caller left, want 1", got)
+		}
+	})
+}
