--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -60,7 +60,7 @@
 	// misses what happened since the last one, so that near hosts, which share
 	// servers, exchange several times in the time of one request.
 	nearPause = 50 * time.Millisecond
-	farPause  = 200 * time.Millisecond
+	farPause  = 100 * time.Millisecond
 )
 
 // Config configures a host.
