--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -167,8 +167,11 @@
 	h := &host{Report: report, at: now, heard: true}
 	if old != nil && old.heard {
 		h.pause = old.pause
-		if old.pause == 0 || old.fresh(now) {
-			h.pause += pauseWeight * (float64(now-old.at) - old.pause)
+		switch pause := float64(now - old.at); {
+		case old.pause == 0:
+			h.pause = pause
+		case old.fresh(now):
+			h.pause += pauseWeight * (pause - old.pause)
 		}
 	}
 	r.hosts[name] = h
@@ -199,7 +202,7 @@
 		b.take()
 		return true, 0
 	}
-	if b.pooled(now) && r.allFresh(now) {
+	if b.pooled(r.reachable(workspace, b, now), now) {
 		b.take()
 		return true, 0
 	}
@@ -210,7 +213,7 @@
 
 // pooled reports whether the whole bucket is filled well enough for a request
 // beyond this host's part, and counts it.
-func (b *bucket) pooled(now clock.Millis) bool {
+func (b *bucket) pooled(reachable float64, now clock.Millis) bool {
 	if now-b.pooledAt >= pooledPause {
 		b.pooledAt, b.pooledCount = now, 0
 	}
@@ -218,7 +221,7 @@
 	if b.pooledCount > 0 {
 		level = fullLevel
 	}
-	if b.pooledCount > 1 || b.level < math.Max(1, level*b.limit.Burst) {
+	if b.pooledCount > 1 || b.level < math.Max(1, level*b.limit.Burst*reachable) {
 		return false
 	}
 	b.pooledCount++
@@ -292,6 +295,30 @@
 	return part
 }
 
+// reachable is the part of a workspace's rate that is not reserved for silent
+// hosts. They may be cut off and use their parts, while this host's side of the
+// cut follows the rest of the whole bucket.
+func (r *Rationer) reachable(workspace string, b *bucket, now clock.Millis) float64 {
+	n := float64(len(r.hosts) + 1)
+	sum, silent, silentHosts := b.demand, 0.0, 0.0
+	for _, h := range r.hosts {
+		demand := b.demand
+		if h.heard {
+			demand = h.Demands[workspace]
+		}
+		sum += demand
+		if !h.heard || !h.fresh(now) {
+			silent += demand
+			silentHosts++
+		}
+	}
+	reserved := silentHosts / n
+	if sum > 0 {
+		reserved = equalPart*silentHosts/n + (1-equalPart)*silent/sum
+	}
+	return 1 - reserved
+}
+
 // wanted is the part that follows the demands as they are known.
 func (r *Rationer) wanted(workspace string, b *bucket) float64 {
 	n := float64(len(r.hosts) + 1)
@@ -319,7 +346,8 @@
 	if now > b.at {
 		gained := b.limit.Rate * float64(now-b.at) / 1000
 		b.tokens += part * gained
-		b.level = math.Min(b.level+gained, b.limit.Burst)
+		reachable := r.reachable(workspace, b, now)
+		b.level = math.Min(b.level+gained*reachable, b.limit.Burst*reachable)
 		b.at = now
 	}
 	b.tokens = math.Min(b.tokens, r.capacity(b, part))
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -250,3 +250,30 @@
 		t.Errorf("%.0f requests over rate and burst, want at most 29", excess)
 	}
 }
+
+// In a large fleet some host is nearly always silent; small workspaces must not
+// be refused for that.
+func TestSmallRateWithSilentHosts(t *testing.T) {
+	limit := Limit{Rate: 16, Burst: 16}
+	f := newFleet(60, limit)
+	random := uint64(7)
+	refused, asked := 0, 0
+	for step := range 2400 {
+		f.now += 25
+		if step%20 == 0 {
+			f.cut = map[int]bool{step / 200 % 60: true} // another host each 5 s
+			f.exchange()
+		}
+		if step%4 == 0 { // 10 a second
+			random = random*6364136223846793005 + 1442695040888963407
+			admitted := f.offer(int(random>>33)%60, 1)
+			if step >= 400 {
+				asked++
+				refused += 1 - admitted
+			}
+		}
+	}
+	if float64(refused) > 0.05*float64(asked) {
+		t.Errorf("%d of %d requests below the rate were refused, want at most 5 %%", refused, asked)
+	}
+}
