--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -215,6 +215,9 @@
 		if old := h.fleet.forget(name); old != "" {
 			h.gossip.RemovePeer(old)
 		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.rationer.RemoveHost(name)
 		return
 	}
 	if old := h.fleet.announce(name, address); old != "" && old != address {
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -24,7 +23,6 @@
 // network connects hosts in one process.
 type network struct {
 	clock *clock.Manual
-	mu    sync.Mutex
 	hosts map[string]*Host
 }
 
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -177,7 +177,7 @@
 	r.hosts[name] = h
 }
 
-// RemoveHost forgets a host that said that it has stopped.
+// RemoveHost forgets a host that an operator has taken away for good.
 func (r *Rationer) RemoveHost(name string) { delete(r.hosts, name) }
 
 // Expire forgets the hosts that have been silent for longer than SilentLife.
