--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -18,10 +18,10 @@
 	// minSlowness and maxSlowness bound how slow a server is thought to be.
 	minSlowness, maxSlowness = 0.5, 20.0
 	// slownessWeight is the weight of one answer in a server's slowness.
-	slownessWeight = 0.15
+	slownessWeight = 0.3
 	// slownessLife is the time in which a server that gets no requests is thought
 	// to have recovered for the most part.
-	slownessLife = 5 * clock.Second
+	slownessLife = 12 * clock.Second
 	// coldBurst is the number of requests that one host may send to a cold server at once.
 	coldBurst = 1.0
 	// coldMargin keeps the fleet's requests to a cold server under its rate.
@@ -229,12 +229,14 @@
 		return
 	}
 	work := math.Max(1, float64(x.Took)-b.trip(s.Region)-c.wait(s, x.Choice.Load))
-	if x.Known {
+	free := x.Choice.Load < s.Slots
+	if x.Known && free {
+		// Behind a queue the wait can't be told from slow work.
 		ratio := math.Min(work/c.warm, maxSlowness)
 		s.slowness += slownessWeight * (ratio - s.slowness)
 		s.slowness = math.Min(math.Max(s.slowness, minSlowness), maxSlowness)
 	}
-	if x.Choice.Load < s.Slots {
+	if free {
 		c.learn(work / math.Max(1, s.slowness))
 	}
 	if p := b.pools[s.Service]; p != nil {
--- a/pkg/hoster/knowledge.go
+++ b/pkg/hoster/knowledge.go
@@ -10,8 +10,9 @@
 )
 
 // behindTime is the time for which another host may know more before this one
-// asks the store: its own watch brings most changes sooner.
-const behindTime clock.Millis = 120
+// asks the store. Its own watch brings most changes sooner, also when it pauses
+// after a change; without a watch, a server that leaves must be known in 2.5 s.
+const behindTime clock.Millis = 400
 
 // knowledge is how current the host's view of each kind of objects is.
 type knowledge struct {
