--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -37,20 +37,6 @@
 	// crowding is the part of the work time by which a fully used server is
 	// thought to be later, because reports of other hosts are under way.
 	crowding = 0.1
-	// lateObjectives and latePart bound the estimate of requests that are sent: in
-	// terms of their objective, and of the time left.
-	lateObjectives, latePart = 1.5, 0.6
-	// returnPatience is how much longer a caller that comes back may wait than others.
-	returnPatience = 1.4
-	// retrySpread is the part by which advice to refused callers varies.
-	retrySpread = 0.3
-	// rankStep is the part of its patience that each rank of urgency costs, down to minUrgency.
-	rankStep, minUrgency = 0.15, 0.5
-	// maxUse is the part of the time left in which an answer must be expected.
-	maxUse = 0.95
-	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
-	minRetryAfter clock.Millis = 100
-	maxRetryAfter clock.Millis = 2000
 )
 
 // Server is a backend server that may get requests.
@@ -257,24 +243,13 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
 	}
 	choice := Choice{Server: best.s.Server, Warm: best.warm, Load: best.load, Estimate: clock.Millis(best.estimate)}
-	limit := patience(req, best)
-	if c.comesBack(req) {
-		limit *= returnPatience
-	}
-	if best.wait > math.Max(0, limit) || best.estimate > maxUse*float64(req.Left) {
+	if over := b.excess(req, c, best); over > 0 {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
-		choice.RetryAfter = retryAfter((best.wait - limit + c.warm) * b.spread())
+		choice.RetryAfter = retryAfter((over + c.warm) * b.spread())
 	}
 	return choice
 }
 
-// spread is a factor around 1 that differs from refusal to refusal, so that
-// callers who are refused together do not come back together.
-func (b *Balancer) spread() float64 {
-	b.turn++
-	return 1 + retrySpread*(2*unit(mix(b.turn))-1)
-}
-
 // seed is the hash by which an object's servers are ranked. Requests without
 // an object are spread.
 func (b *Balancer) seed(req Request) uint64 {
@@ -285,21 +260,6 @@
 	return objectHash(req)
 }
 
-// patience is the longest wait for a slot with which a request is still sent.
-//
-// It answers demand beyond the slots. Without a limit the queues would grow
-// until every answer comes at the end of its caller's time. The limit leaves
-// room for answers that are late and still of use; what would come later is
-// refused at once. Less urgent requests give way first.
-func patience(req Request, best *candidate) float64 {
-	limit := math.Max(lateObjectives*float64(req.Objective), latePart*float64(req.Left))
-	return (limit - (best.estimate - best.wait)) * math.Max(minUrgency, 1-rankStep*req.Rank)
-}
-
-func retryAfter(ms float64) clock.Millis {
-	return min(max(clock.Millis(math.Ceil(ms)), minRetryAfter), maxRetryAfter)
-}
-
 // best returns the server with the earliest estimated answer, with a bias for
 // the first of the ranking.
 func (b *Balancer) best(ranked []*server, req Request, c *class, now clock.Millis) (*candidate, string) {
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -31,7 +31,6 @@
 type replayHost struct {
 	region string
 	b      *Balancer
-	rest   float64
 }
 
 type replayServer struct {
--- /dev/null
+++ b/pkg/balancer/waiting.go
@@ -0,0 +1,60 @@
+package balancer
+
+import (
+	"math"
+
+	"catkindyke/pkg/clock"
+)
+
+const (
+	// lateObjectives and latePart bound the estimate of requests that are sent: in
+	// terms of their objective, and of the time left.
+	lateObjectives, latePart = 1.5, 0.6
+	// returnPatience is how much longer a caller that comes back may wait than others.
+	returnPatience = 1.4
+	// retrySpread is the part by which advice to refused callers varies.
+	retrySpread = 0.3
+	// rankStep is the part of its patience that each rank of urgency costs, down to minUrgency.
+	rankStep, minUrgency = 0.15, 0.5
+	// maxUse is the part of the time left in which an answer must be expected.
+	maxUse = 0.95
+	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
+	minRetryAfter clock.Millis = 100
+	maxRetryAfter clock.Millis = 2000
+)
+
+// excess is the time by which a request would wait too long at its best server;
+// it is sent when that is 0.
+func (b *Balancer) excess(req Request, c *class, best *candidate) float64 {
+	limit := patience(req, best)
+	if c.comesBack(req) {
+		limit *= returnPatience
+	}
+	limit = math.Max(0, limit)
+	if best.estimate > maxUse*float64(req.Left) {
+		return math.Max(1, best.wait-limit)
+	}
+	return math.Max(0, best.wait-limit)
+}
+
+// patience is the longest wait for a slot with which a request is still sent.
+//
+// It answers demand beyond the slots. Without a limit the queues would grow
+// until every answer comes at the end of its caller's time. The limit leaves
+// room for answers that are late and still of use; what would come later is
+// refused at once. Less urgent requests give way first.
+func patience(req Request, best *candidate) float64 {
+	limit := math.Max(lateObjectives*float64(req.Objective), latePart*float64(req.Left))
+	return (limit - (best.estimate - best.wait)) * math.Max(minUrgency, 1-rankStep*req.Rank)
+}
+
+func retryAfter(ms float64) clock.Millis {
+	return min(max(clock.Millis(math.Ceil(ms)), minRetryAfter), maxRetryAfter)
+}
+
+// spread is a factor around 1 that differs from refusal to refusal, so that
+// callers who are refused together do not come back together.
+func (b *Balancer) spread() float64 {
+	b.turn++
+	return 1 + retrySpread*(2*unit(mix(b.turn))-1)
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -103,19 +103,6 @@
 	}
 }
 
-// Peers returns the peer addresses of the hosts that were heard lately.
-func (g *Gossiper) Peers() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []string
-	for address, p := range g.peers {
-		if p.name != "" && !p.lost {
-			out = append(out, address)
-		}
-	}
-	return out
-}
-
 // Wake makes all hosts hear from this one at once.
 func (g *Gossiper) Wake() {
 	g.mu.Lock()
--- /dev/null
+++ b/pkg/gossiper/gossiper_test.go
@@ -0,0 +1,154 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/schema"
+)
+
+// network connects gossipers by their addresses.
+type network struct {
+	mu    sync.Mutex
+	peers map[string]*Gossiper
+	calls map[string]int
+	down  map[string]bool
+	heard map[string]int
+}
+
+type client struct {
+	n        *network
+	from, to string
+}
+
+var errDown = errors.New("host is down")
+
+func (c client) DRPCConn() drpc.Conn { return nil }
+
+func (c client) Exchange(ctx context.Context, r *schema.HostReport) (*schema.HostReport, error) {
+	c.n.mu.Lock()
+	c.n.calls[c.from+" "+c.to]++
+	peer, down := c.n.peers[c.to], c.n.down[c.to] || c.n.down[c.from]
+	c.n.mu.Unlock()
+	if down {
+		// A host that is cut off doesn't answer.
+		<-ctx.Done()
+		return nil, errDown
+	}
+	return peer.Exchange(ctx, r)
+}
+
+func withGossipers(t *testing.T, names []string, test func(n *network)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := &network{
+			peers: make(map[string]*Gossiper), calls: make(map[string]int), down: make(map[string]bool), heard: make(map[string]int),
+		}
+		for _, name := range names {
+			n.peers[name] = New(ctx, Config{
+				Name: name, Address: name, Region: name[:1], Near: 50 * time.Millisecond, Far: 100 * time.Millisecond,
+				Report: func(string) *schema.HostReport {
+					return &schema.HostReport{Name: name, PeerAddress: name, Region: name[:1]}
+				},
+				Receive: func(r *schema.HostReport, _ clock.Millis) {
+					n.mu.Lock()
+					defer n.mu.Unlock()
+					n.heard[name+" "+r.GetName()]++
+				},
+				Dial:  func(_ context.Context, address string) schema.DRPCFleetClient { return client{n, name, address} },
+				Clock: clock.New(), Log: zerolog.Nop(),
+			})
+		}
+		for _, name := range names {
+			for _, other := range names {
+				n.peers[name].AddPeer(other)
+			}
+		}
+		test(n)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (n *network) count(counts map[string]int, key string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return counts[key]
+}
+
+// wait lets virtual time pass and returns how much a count grew.
+func (n *network) wait(d time.Duration, counts map[string]int, key string) int {
+	before := n.count(counts, key)
+	time.Sleep(d)
+	return n.count(counts, key) - before
+}
+
+func assertBetween(t *testing.T, step string, got, low, high int) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("%s: %d, want %d to %d", step, got, low, high)
+	}
+}
+
+// One call serves both hosts of a pair.
+func TestPairsExchangeOnce(t *testing.T) {
+	withGossipers(t, []string{"a1", "a2", "b1"}, func(n *network) {
+		time.Sleep(time.Second)
+		assertBetween(t, "calls of the higher name", n.wait(time.Second, n.calls, "a2 a1"), 0, 0)
+		assertBetween(t, "reports within a region", n.wait(time.Second, n.heard, "a2 a1"), 17, 21)
+		assertBetween(t, "reports between regions", n.wait(time.Second, n.heard, "b1 a1"), 8, 11)
+	})
+}
+
+// A host that does not answer is called less and less often, and is heard soon
+// after it is back, also by hosts that wait for its call.
+func TestSilentHost(t *testing.T) {
+	withGossipers(t, []string{"a1", "a2"}, func(n *network) {
+		time.Sleep(time.Second)
+		n.mu.Lock()
+		n.down["a1"] = true
+		n.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		assertBetween(t, "calls to a silent host", n.wait(10*time.Second, n.calls, "a2 a1"), 3, 12)
+		n.mu.Lock()
+		n.down["a1"] = false
+		n.mu.Unlock()
+		if n.wait(2500*time.Millisecond, n.heard, "a2 a1") == 0 {
+			t.Error("a host that is back is not heard within 2.5 s")
+		}
+	})
+}
+
+// The exchanges of a host do not grow with the fleet.
+func TestExchangesAreBounded(t *testing.T) {
+	var names []string
+	for i := range 60 {
+		names = append(names, fmt.Sprintf("%c%02d", 'a'+i%3, i))
+	}
+	withGossipers(t, names, func(n *network) {
+		time.Sleep(3 * time.Second)
+		total := func() int {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			sum := 0
+			for _, heard := range n.heard {
+				sum += heard
+			}
+			return sum
+		}
+		before := total()
+		time.Sleep(2 * time.Second)
+		// Each exchange is heard by two hosts; a host takes part in 140 a second.
+		assertBetween(t, "reports heard by a host in a second", (total()-before)/2/len(names), 60, 150)
+	})
+}
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -201,27 +201,36 @@
 	})
 }
 
-// A small workspace whose requests reach many hosts by chance is refused below
-// its rate when each host only has its part.
-func TestSmallRateOverManyHosts(t *testing.T) {
-	limit := Limit{Rate: 16, Burst: 16}
-	f := newFleet(60, limit)
+// spreadOffers sends 10 requests a second to random hosts of a fleet of 60, which
+// exchange reports every 500 ms, and returns how many were asked for and refused
+// after the first 10 s. before is called ahead of each exchange.
+func spreadOffers(f *fleet, before func(step int)) (asked, refused int) {
 	random := uint64(7)
-	refused, asked := 0, 0
 	for step := range 2400 {
 		f.now += 25
 		if step%20 == 0 {
+			before(step)
 			f.exchange()
 		}
-		if step%4 == 0 { // 10 a second
-			random = random*6364136223846793005 + 1442695040888963407
-			admitted := f.offer(int(random>>33)%60, 1)
-			if step >= 400 {
-				asked++
-				refused += 1 - admitted
-			}
+		if step%4 != 0 {
+			continue
+		}
+		random = random*6364136223846793005 + 1442695040888963407
+		admitted := f.offer(int(random>>33)%60, 1)
+		if step >= 400 {
+			asked++
+			refused += 1 - admitted
 		}
 	}
+	return asked, refused
+}
+
+// A small workspace whose requests reach many hosts by chance is refused below
+// its rate when each host only has its part.
+func TestSmallRateOverManyHosts(t *testing.T) {
+	limit := Limit{Rate: 16, Burst: 16}
+	f := newFleet(60, limit)
+	asked, refused := spreadOffers(f, func(int) {})
 	if float64(refused) > 0.01*float64(asked) {
 		t.Errorf("%d of %d requests below the rate were refused, want at most 1 %%", refused, asked)
 	}
@@ -254,25 +263,10 @@
 // In a large fleet some host is nearly always silent; small workspaces must not
 // be refused for that.
 func TestSmallRateWithSilentHosts(t *testing.T) {
-	limit := Limit{Rate: 16, Burst: 16}
-	f := newFleet(60, limit)
-	random := uint64(7)
-	refused, asked := 0, 0
-	for step := range 2400 {
-		f.now += 25
-		if step%20 == 0 {
-			f.cut = map[int]bool{step / 200 % 60: true} // another host each 5 s
-			f.exchange()
-		}
-		if step%4 == 0 { // 10 a second
-			random = random*6364136223846793005 + 1442695040888963407
-			admitted := f.offer(int(random>>33)%60, 1)
-			if step >= 400 {
-				asked++
-				refused += 1 - admitted
-			}
-		}
-	}
+	f := newFleet(60, Limit{Rate: 16, Burst: 16})
+	asked, refused := spreadOffers(f, func(step int) {
+		f.cut = map[int]bool{step / 200 % 60: true} // another host each 5 s
+	})
 	if float64(refused) > 0.05*float64(asked) {
 		t.Errorf("%d of %d requests below the rate were refused, want at most 5 %%", refused, asked)
 	}
