--- /dev/null
+++ b/cmd/catkindyke/commander/host_test.go
@@ -0,0 +1,148 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"catkindyke/platform"
+	"catkindyke/platform/emulator"
+)
+
+// hostTime bounds each wait of the test; it is far above what is needed.
+const hostTime = 30 * time.Second
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// backend answers as backend server s1, and only requests that are meant for it.
+func backend(t *testing.T) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := platform.Headers()
+		if r.Header.Get(h.Key) != "" {
+			t.Error("the key reached the backend server")
+		}
+		if r.Header.Get(h.ExpectedServer) != "s1" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
+		_, _ = io.WriteString(w, r.Header.Get(h.Workspace)+" "+r.URL.Path)
+	}))
+}
+
+func hostConfig(version int, keys string) string {
+	return fmt.Sprintf(`{"Version":"r%d","Services":[{"Name":"desk","HealthPath":"/h","MaxConns":9,"ColdStartS":1,"ColdPerS":10}],
+"Limits":{},"Tenants":[{"Name":"lakes","ApiKeys":[%s]}],"Hosts":[{"Host":"a.example","Paths":[{"Name":"p","PathPrefix":"/x/",
+"Kind":"idempotent","TimeoutMs":5000,"TargetLatencyMs":1000,"Service":"desk","Attempts":2}]}]}`, version, keys)
+}
+
+// withHost runs the host command against a stand-in of the platform's store.
+func withHost(t *testing.T, test func(store *emulator.Store, settings platform.Settings)) {
+	t.Helper()
+	store := emulator.New(100)
+	storeServer := httptest.NewServer(store)
+	defer storeServer.Close()
+	server := backend(t)
+	defer server.Close()
+	store.Put("config", "main", hostConfig(1, `"k1","k2"`))
+	store.Put("servers", "s1", fmt.Sprintf(
+		`{"Service":"desk","Address":%q,"Zone":"z1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}`,
+		strings.TrimPrefix(server.URL, "http://")))
+	settings := platform.Settings{
+		Host: "h1", AvailabilityZone: "z1", Region: "r1", RegionOf: map[string]string{"z1": "r1"},
+		CallerAddress: freeAddress(t), ReadinessAddress: freeAddress(t), PeerAddress: freeAddress(t), LookupAddress: freeAddress(t),
+		StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
+		StopGrace:    1000, WithdrawalLimit: 5000, MaxLookupAge: 5000, MaxShift: 0.15,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- runHost(ctx, settings, zerolog.Nop()) }()
+	test(store, settings)
+	cancel()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Errorf("host: %v", err)
+		}
+	case <-time.After(hostTime):
+		t.Error("the host does not stop")
+	}
+	storeServer.CloseClientConnections()
+}
+
+// fetch makes one request and returns its status and body; 0 when there is no answer.
+func fetch(url, key string) (int, string) {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Host = "a.example"
+	r.Header.Set(platform.Headers().RequestID, "r1")
+	r.Header.Set(platform.Headers().Key, key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// expectStatus repeats a request until it has a status.
+func expectStatus(t *testing.T, step, url, key string, want int) string {
+	t.Helper()
+	deadline := time.Now().Add(hostTime)
+	for {
+		status, body := fetch(url, key)
+		if status == want {
+			return body
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: status %d, want %d", step, status, want)
+		}
+	}
+}
+
+// The whole path from look-up to answer, with the store's own forms.
+func TestHostServes(t *testing.T) {
+	withHost(t, func(store *emulator.Store, settings platform.Settings) {
+		caller := "http://" + settings.CallerAddress
+		expectStatus(t, "readiness", "http://"+settings.ReadinessAddress+"/readiness", "", http.StatusOK)
+		answer := expectStatus(t, "look-up", "http://"+settings.LookupAddress+"/resolve?Name=a.example&Region=r1&Zone=z1", "", http.StatusOK)
+		if !strings.Contains(answer, settings.CallerAddress) {
+			t.Errorf("look-up answer %s does not name %s", answer, settings.CallerAddress)
+		}
+		if body := expectStatus(t, "request", caller+"/x/1", "k1", http.StatusOK); body != "lakes /x/1" {
+			t.Errorf("answer %q", body)
+		}
+		expectStatus(t, "unknown key", caller+"/x/1", "k9", http.StatusUnauthorized)
+		expectStatus(t, "unknown route", caller+"/y/1", "k1", http.StatusNotFound)
+		store.Put("config", "main", hostConfig(2, `"k2"`))
+		expectStatus(t, "withdrawn key", caller+"/x/1", "k1", http.StatusUnauthorized)
+		expectStatus(t, "kept key", caller+"/x/1", "k2", http.StatusOK)
+		store.Put("evacuations", "z1", "{}")
+		expectStatus(t, "evacuated zone", caller+"/x/1", "k2", http.StatusServiceUnavailable)
+		store.Delete("evacuations", "z1")
+		expectStatus(t, "zone taken back", caller+"/x/1", "k2", http.StatusOK)
+	})
+}
