Let two hosts of a region watch the store and tell the others what changes

Cause: each host watched each kind of objects, so calls to the store grew with the fleet times the changes; a list moved the revision that a host told of, so that all others asked the store too. A host that the store did not answer was taken out of look-up answers though others knew all that it missed.

The first two hosts of a region by name that the store answers watch it; all others hear of changes from them, and still ask for themselves when told of a change that nobody brings. A host without the store stays in use while it is informed by others; entries of servers are kept as lapsed only while it is not. Hosts announce themselves before they read the list of hosts, which need not be watched then. Reports name workspaces and servers by hash. Changes from a watch, a check and other hosts are applied in order by revision: a check's answer could be overwritten by that of an older watch.

Ruled out: watching by one host of the whole fleet (a region that is cut off would ask all at once); lists that may be stale at the start (the call that then brings them up to date costs as much as is saved).

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -93,14 +93,15 @@
 	h := hoster.New(running, hoster.Config{
 		Name: settings.Host, Region: settings.Region, AvailabilityZone: settings.AvailabilityZone,
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
-		Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
+		Kinds: platform.Kinds(), Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
 		Repeats:   rationer.RetryConfig{Ratio: settings.RepeatRatio, Window: settings.RepeatWindow, Slack: settings.RepeatSlack},
 		RateSlack: settings.RateSlack, ShiftRate: shiftPart * settings.MaxShift / 2,
 		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: metrics,
 	})
 	client := platform.NewClient(settings.StoreAddress)
-	follower := platform.NewFollower(platform.FollowerConfig{
-		Client: client, Feed: h.Feed(), RegionOf: settings.RegionOf, Clock: clk, Log: log,
+	follower := platform.NewFollower(running, platform.FollowerConfig{
+		Client: client, Own: platform.HostEntry{Name: settings.Host, PeerAddress: settings.PeerAddress, Region: settings.Region},
+		Feed: h.Feed(), RegionOf: settings.RegionOf, Clock: clk, Log: log,
 	})
 	peer, err := peerserver.New(peerserver.Config{
 		Register: func(mux drpc.Mux) error { return schema.DRPCRegisterFleet(mux, h) },
@@ -119,7 +120,6 @@
 		}
 	}()
 	go follower.Run(running)
-	go follower.Announce(running, settings.Host, settings.PeerAddress, settings.Region)
 	servers, err := listenHTTP(settings, h, metrics, log)
 	if err != nil {
 		return err
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -234,10 +234,11 @@
 		return Choice{Refused: true, Reason: ReasonNoServer, RetryAfter: clock.Second}
 	}
 	c := b.class(req)
-	ranked := p.rank(b.seed(req), req.Homes)
-	best, reason := b.best(ranked[:min(firstRanks, len(ranked))], req, c, now)
+	object := b.seed(req)
+	ranked := p.rank(object, req.Homes)
+	best, reason := b.best(ranked[:min(firstRanks, len(ranked))], req, object, c, now)
 	if best == nil || best.estimate > float64(req.Objective) {
-		best, reason = b.best(ranked, req, c, now)
+		best, reason = b.best(ranked, req, object, c, now)
 	}
 	if best == nil {
 		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
@@ -262,7 +263,7 @@
 
 // best returns the server with the earliest estimated answer, with a bias for
 // the first of the ranking.
-func (b *Balancer) best(ranked []*server, req Request, c *class, now clock.Millis) (*candidate, string) {
+func (b *Balancer) best(ranked []*server, req Request, object uint64, c *class, now clock.Millis) (*candidate, string) {
 	var best *candidate
 	var bestCost float64
 	reason := ReasonNoServer
@@ -274,7 +275,7 @@
 			reason = ReasonCold
 			continue
 		}
-		cand := b.estimate(s, i == 0 || s.holds(req), c)
+		cand := b.estimate(s, i == 0 || req.Object == "" || s.holds(object, now), c)
 		cost := cand.estimate
 		if i == 0 {
 			cost *= stayBias
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -52,7 +52,6 @@
 	coldAt      clock.Millis
 	// held are the hashes of objects that this host has sent, with the time.
 	held   map[uint64]clock.Millis
-	now    clock.Millis
 	idHash uint64
 	score  float64
 }
@@ -69,19 +68,15 @@
 }
 
 func (s *server) down(now clock.Millis) bool {
-	s.now = now
 	return s.unreachable || now < s.downUntil
 }
 
 func (s *server) isCold(now clock.Millis) bool { return now < s.ColdUntil }
 
 // holds reports whether this host has sent the object to the server lately.
-func (s *server) holds(req Request) bool {
-	if req.Object == "" {
-		return true
-	}
-	at, ok := s.held[objectHash(req)]
-	return ok && s.now-at <= heldTime
+func (s *server) holds(object uint64, now clock.Millis) bool {
+	at, ok := s.held[object]
+	return ok && now-at <= heldTime
 }
 
 func (s *server) hold(object uint64, now clock.Millis) {
@@ -158,11 +153,12 @@
 	if s.isCold(now) {
 		s.coldTokens--
 	}
-	s.now = now
-	known = s.holds(req)
-	if req.Object != "" {
-		s.hold(objectHash(req), now)
+	if req.Object == "" {
+		return true
 	}
+	object := objectHash(req)
+	known = s.holds(object, now)
+	s.hold(object, now)
 	return known
 }
 
--- /dev/null
+++ b/pkg/hoster/convert.go
@@ -0,0 +1,118 @@
+package hoster
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkindyke/pkg/relayer"
+	"catkindyke/pkg/schema"
+)
+
+func rates(list []*schema.Rate) map[string]float64 {
+	out := make(map[string]float64, len(list))
+	for _, r := range list {
+		out[r.GetName()] = r.GetPerS()
+	}
+	return out
+}
+
+// dictionary finds names by the hashes that stand for them in reports.
+type dictionary map[uint64]string
+
+func (d dictionary) add(name string) { d[xxhash.Sum64String(name)] = name }
+
+func encodeLoads(loads map[string]int) *schema.ServerLoads {
+	out := &schema.ServerLoads{}
+	for id, n := range loads {
+		out.ServerHashes = append(out.ServerHashes, xxhash.Sum64String(id))
+		out.InFlight = append(out.InFlight, uint32(n))
+	}
+	return out
+}
+
+// decodeLoads leaves out servers that are not known here: they get no requests.
+func decodeLoads(loads *schema.ServerLoads, names dictionary) map[string]int {
+	out := make(map[string]int, len(loads.GetServerHashes()))
+	for i, hash := range loads.GetServerHashes() {
+		if id, ok := names[hash]; ok && i < len(loads.GetInFlight()) {
+			out[id] = int(loads.GetInFlight()[i])
+		}
+	}
+	return out
+}
+
+// demandUnit is the number of requests a second that a demand of 1 in a report stands for.
+const demandUnit = 0.01
+
+func encodeUses(demands map[string]float64, admitted map[string]uint64) *schema.WorkspaceUses {
+	out := &schema.WorkspaceUses{}
+	add := func(name string) {
+		out.WorkspaceHashes = append(out.WorkspaceHashes, xxhash.Sum64String(name))
+		out.Demands = append(out.Demands, uint32(math.Round(demands[name]/demandUnit)))
+		out.Admitted = append(out.Admitted, admitted[name])
+	}
+	for name := range admitted {
+		add(name)
+	}
+	for name := range demands {
+		if _, ok := admitted[name]; !ok {
+			add(name)
+		}
+	}
+	return out
+}
+
+// decodeUses leaves out workspaces that the configuration in force here lacks.
+func decodeUses(uses *schema.WorkspaceUses, names dictionary) (demands map[string]float64, admitted map[string]uint64) {
+	demands, admitted = make(map[string]float64), make(map[string]uint64)
+	for i, hash := range uses.GetWorkspaceHashes() {
+		name, ok := names[hash]
+		if !ok || i >= len(uses.GetDemands()) || i >= len(uses.GetAdmitted()) {
+			continue
+		}
+		demands[name] = float64(uses.GetDemands()[i]) * demandUnit
+		admitted[name] = uses.GetAdmitted()[i]
+	}
+	return demands, admitted
+}
+
+func encodeRevisions(list []relayer.Revision) []*schema.Revision {
+	out := make([]*schema.Revision, 0, len(list))
+	for _, r := range list {
+		out = append(out, &schema.Revision{Kind: r.Kind, Changed: r.Changed, UpTo: r.UpTo})
+	}
+	return out
+}
+
+func decodeRevisions(list []*schema.Revision) []relayer.Revision {
+	out := make([]relayer.Revision, 0, len(list))
+	for _, r := range list {
+		out = append(out, relayer.Revision{Kind: r.GetKind(), Changed: r.GetChanged(), UpTo: r.GetUpTo()})
+	}
+	return out
+}
+
+func encodeBatches(list []relayer.Batch) []*schema.Batch {
+	out := make([]*schema.Batch, 0, len(list))
+	for _, b := range list {
+		batch := &schema.Batch{Kind: b.Kind, After: b.After, UpTo: b.UpTo}
+		for _, c := range b.Changes {
+			batch.Changes = append(batch.Changes, &schema.Change{
+				Name: c.Name, Revision: c.Revision, Deleted: c.Deleted, Content: c.Content,
+			})
+		}
+		out = append(out, batch)
+	}
+	return out
+}
+
+func decodeBatch(b *schema.Batch) relayer.Batch {
+	out := relayer.Batch{Kind: b.GetKind(), After: b.GetAfter(), UpTo: b.GetUpTo()}
+	for _, c := range b.GetChanges() {
+		out.Changes = append(out.Changes, relayer.Change{
+			Name: c.GetName(), Revision: c.GetRevision(), Deleted: c.GetDeleted(), Content: c.GetContent(),
+		})
+	}
+	return out
+}
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -6,6 +6,8 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/registrar"
+	"catkindyke/pkg/relayer"
+	"catkindyke/pkg/schema"
 )
 
 // Feed takes what the platform's store holds and how it changes.
@@ -14,26 +16,33 @@
 	Config func(cfg cataloger.Config)
 	// Contact takes a time at which the host knew the newest configuration.
 	Contact func(asOf clock.Millis)
-	// Known notes that all changes of a kind up to a revision of the store were
-	// handed over; changed says that there were any.
-	Known func(kind string, revision uint64, changed bool)
+	// Listed notes that all objects of a kind were handed over as of a revision of
+	// the store; changed is the highest revision among them.
+	Listed func(kind string, changed, upTo uint64)
+	// Applied notes that the changes of a batch were handed over.
+	Applied func(b relayer.Batch)
+	// Relayed are changes that other hosts know of and this one may lack.
+	Relayed <-chan relayer.Batch
+	// Watches reports whether this host should watch the store; the others hear of
+	// changes from those that do.
+	Watches func() bool
 	// ChecksDue returns the kinds of which the store should be asked now if there
-	// are changes that a watch has not brought.
+	// are changes that nobody has told of.
 	ChecksDue func() []string
 	// Lost notes that the store does not answer, Regained that it does again.
 	Lost     func(err error)
 	Regained func()
-	// Servers takes the list of backend servers, Server and ServerGone one change
-	// of it, and ServersLost notes that changes may have been missed.
-	Servers     func(list []registrar.Server)
-	Server      func(s registrar.Server)
-	ServerGone  func(id string)
-	ServersLost func()
+	// Informed reports whether the host learns of changes without the store.
+	Informed func() bool
+	// Servers takes the list of backend servers, Server and ServerGone one change of it.
+	Servers    func(list []registrar.Server)
+	Server     func(s registrar.Server)
+	ServerGone func(id string)
 	// Evacuations takes the zones that get no requests, Evacuation one change.
 	Evacuations func(zones []string)
 	Evacuation  func(zone string, active bool)
 	// Host takes the entry of a host, and HostsKnown notes that all were given.
-	Host       func(name, peerAddress string, gone bool)
+	Host       func(name, peerAddress string)
 	HostsKnown func()
 }
 
@@ -43,13 +52,15 @@
 		Config: func(cfg cataloger.Config) { h.do(func() { h.setConfig(cfg) }) },
 		// What is known of the configuration was handed over before.
 		Contact: h.advanceContact,
-		Known:   h.knowledge.note, ChecksDue: h.checksDue,
+		Listed:  h.relayer.Listed,
+		Applied: func(b relayer.Batch) { h.relayer.Applied(b, h.cfg.Clock.Now()) },
+		Relayed: h.relayed, Watches: h.watches, ChecksDue: h.checksDue,
 		Lost:     func(err error) { h.do(func() { h.noteStoreLost(err) }) },
 		Regained: func() { h.do(h.noteStoreRegained) },
 		Servers: func(list []registrar.Server) {
 			h.do(func() {
 				h.registrar.Replace(list, h.cfg.Clock.Now())
-				h.read("servers")
+				h.serversKnown.Store(true)
 				h.publishServers()
 			})
 		},
@@ -59,19 +70,11 @@
 		ServerGone: func(id string) {
 			h.do(func() { h.registrar.Remove(id, h.cfg.Clock.Now()); h.logGone(id); h.publishServers() })
 		},
-		ServersLost: func() { h.do(func() { h.registrar.Lost(h.cfg.Clock.Now()) }) },
+		Informed:    h.informed,
 		Evacuations: func(zones []string) { h.do(func() { h.setEvacuations(zones) }) },
 		Evacuation:  func(zone string, active bool) { h.do(func() { h.setEvacuation(zone, active); h.publishServers() }) },
-		Host:        func(name, address string, gone bool) { h.do(func() { h.setHost(name, address, gone) }) },
-		HostsKnown:  func() { h.do(func() { h.read("hosts") }) },
-	}
-}
-
-// read notes that a list was read for the first time.
-func (h *Host) read(list string) {
-	if !h.listsRead[list] {
-		h.listsRead[list] = true
-		h.known.Add(1)
+		Host:        func(name, address string) { h.do(func() { h.setHost(name, address) }) },
+		HostsKnown:  func() { h.hostsKnown.Store(true) },
 	}
 }
 
@@ -94,10 +97,13 @@
 		return
 	}
 	limits := make(map[string]rationer.Limit)
+	names := make(dictionary)
 	for _, w := range c.Workspaces() {
+		names.add(w.Name)
 		limits[w.Name] = rationer.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
 	h.mu.Lock()
+	h.workspaceNames = names
 	h.rationer.SetLimits(limits, h.cfg.Clock.Now())
 	h.mu.Unlock()
 	h.catalog.Store(c)
@@ -121,13 +127,37 @@
 // live host by name asks most often, and the others learn of its answer; each of
 // the next waits longer, so that one call serves the whole fleet and none is
 // indispensable. A watch that hears nothing is found by what other hosts know.
+// Hosts whose neighbors have lost the store ask soon, because entries of servers
+// that lapse while it is away must not count as gone.
 func (h *Host) checksDue() []string {
 	now := h.cfg.Clock.Now()
-	rank := min(h.fleet.rank(now), maxProofRank)
-	if now-clock.Millis(h.contact.Load()) >= proofAge+clock.Millis(rank)*proofStep {
-		return h.knowledge.kinds()
+	limit := proofAge + clock.Millis(min(h.fleet.rank(now), maxProofRank))*proofStep
+	if h.fleet.watchersLost(now) {
+		limit = lostProofAge
+	}
+	if now-clock.Millis(h.contact.Load()) >= limit {
+		return h.relayer.Kinds()
+	}
+	return h.relayer.Behind(now)
+}
+
+// watches reports whether this host watches the store. It waits at the start
+// until it has heard the others.
+func (h *Host) watches() bool {
+	now := h.cfg.Clock.Now()
+	return now-h.started >= watchDelay && h.fleet.watchersBefore(now) < watchersPerRegion
+}
+
+// relay hands over the changes that another host has told of. When too many
+// wait, the host asks the store for what it then lacks.
+func (h *Host) relay(batches []*schema.Batch) {
+	for _, b := range batches {
+		select {
+		case h.relayed <- decodeBatch(b):
+		default:
+			h.cfg.Meter.Add("relayed_batches_left_out", 1)
+		}
 	}
-	return h.knowledge.behind(now)
 }
 
 func (h *Host) noteStoreRegained() {
@@ -154,7 +184,7 @@
 			h.setEvacuation(zone, false)
 		}
 	}
-	h.read("evacuations")
+	h.zonesKnown.Store(true)
 	h.publishServers()
 }
 
@@ -186,6 +216,7 @@
 // publishServers gives the balancer the servers that may get requests.
 func (h *Host) publishServers() {
 	var list []balancer.Server
+	names := make(dictionary)
 	c := h.catalog.Load()
 	for _, e := range h.registrar.Entries() {
 		if e.Draining || h.evacuated[e.Zone] {
@@ -197,6 +228,7 @@
 				rate = s.ColdRate
 			}
 		}
+		names.add(e.ID)
 		list = append(list, balancer.Server{
 			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Region: e.Region, Slots: e.Slots,
 			ColdUntil: e.ColdUntil, ColdRate: rate,
@@ -204,22 +236,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.serverNames = names
 	h.balancer.SetServers(list)
 }
 
-func (h *Host) setHost(name, address string, gone bool) {
+func (h *Host) setHost(name, address string) {
 	if name == h.cfg.Name {
 		return
 	}
-	if gone {
-		if old := h.fleet.forget(name); old != "" {
-			h.gossip.RemovePeer(old)
-		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.rationer.RemoveHost(name)
-		return
-	}
 	if old := h.fleet.announce(name, address); old != "" && old != address {
 		h.gossip.RemovePeer(old)
 	}
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -8,6 +8,7 @@
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/relayer"
 	"catkindyke/pkg/schema"
 )
 
@@ -18,14 +19,19 @@
 	// minNamed is the number of hosts below which a look-up answer also names
 	// hosts of other regions.
 	minNamed = 1
+	// watchersPerRegion is the number of hosts of a region that watch the store.
+	// One that fails leaves another while its failure is noticed.
+	watchersPerRegion = 2
 )
 
 // member is what is known of another host.
 type member struct {
 	name, region, zone, caller, peer string
 	incarnation, sequence            uint64
-	ready, leaving                   bool
+	ready, leaving, storeLost        bool
 	heard                            clock.Millis
+	// revisions tell what the host knew of the store.
+	revisions []relayer.Revision
 }
 
 // fleet holds the other hosts by name.
@@ -85,28 +91,67 @@
 	return n
 }
 
-func newFleet(cfg Config) *fleet {
-	return &fleet{cfg: cfg, members: make(map[string]*member), announced: make(map[string]string)}
+// watchersBefore is the number of live hosts of the own region that can watch the
+// store and come before this one by name.
+func (f *fleet) watchersBefore(now clock.Millis) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.members {
+		if m.isNeighbor(f.cfg, now) && !m.storeLost && m.name < f.cfg.Name {
+			n++
+		}
+	}
+	return n
 }
 
-func (f *fleet) announce(name, address string) (old string) {
+// watchersLost reports whether the hosts that come first in the own region by
+// name, and would watch the store, say that it does not answer them.
+func (f *fleet) watchersLost(now clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old = f.announced[name]
-	f.announced[name] = address
-	return old
+	var before []*member
+	for _, m := range f.members {
+		if m.isNeighbor(f.cfg, now) && m.name < f.cfg.Name {
+			before = append(before, m)
+		}
+	}
+	slices.SortFunc(before, func(a, b *member) int { return strings.Compare(a.name, b.name) })
+	before = before[:min(len(before), watchersPerRegion)]
+	return len(before) > 0 && !slices.ContainsFunc(before, func(m *member) bool { return !m.storeLost })
+}
+
+func (m *member) isNeighbor(cfg Config, now clock.Millis) bool {
+	return m.region == cfg.Region && !m.leaving && now-m.heard <= liveTime
+}
+
+// lacks returns what a host knew of the store, if it hears of changes from this
+// one: hosts of other regions have watchers of their own, while the store
+// answers them.
+func (f *fleet) lacks(name string) []relayer.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil && (m.region == f.cfg.Region || m.storeLost) {
+		return m.revisions
+	}
+	return nil
 }
 
-func (f *fleet) forget(name string) (old string) {
+func newFleet(cfg Config) *fleet {
+	return &fleet{cfg: cfg, members: make(map[string]*member), announced: make(map[string]string)}
+}
+
+func (f *fleet) announce(name, address string) (old string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old = f.announced[name]
-	delete(f.announced, name)
+	f.announced[name] = address
 	return old
 }
 
-// receive takes a report and reports whether it is newer than the last one.
-func (f *fleet) receive(r *schema.HostReport, now clock.Millis) bool {
+// receive takes a report and reports whether it is newer than the last one. moved
+// is the peer address that the host had before, if it has another one now.
+func (f *fleet) receive(r *schema.HostReport, now clock.Millis) (moved string, newer bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[r.GetName()]
@@ -115,12 +160,16 @@
 		f.members[r.GetName()] = m
 	}
 	if r.GetIncarnation() < m.incarnation || (r.GetIncarnation() == m.incarnation && r.GetSequence() <= m.sequence) {
-		return false
+		return "", false
+	}
+	if m.peer != r.GetPeerAddress() {
+		moved = m.peer
 	}
 	m.incarnation, m.sequence = r.GetIncarnation(), r.GetSequence()
 	m.region, m.zone, m.caller, m.peer = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
-	m.ready, m.leaving, m.heard = r.GetReady(), r.GetLeaving(), now
-	return true
+	m.ready, m.leaving, m.storeLost, m.heard = r.GetReady(), r.GetLeaving(), r.GetStoreLost(), now
+	m.revisions = decodeRevisions(r.GetRevisions())
+	return moved, true
 }
 
 // size is the number of live hosts, this one included.
@@ -190,7 +239,9 @@
 	}
 	r.EchoIncarnation, r.EchoSequence = h.fleet.last(to)
 	h.fleet.sending(r.Sequence, now)
-	r.Revisions = h.knowledge.report()
+	r.StoreLost = h.storeLostAt.Load() != 0
+	r.Revisions = encodeRevisions(h.relayer.Revisions())
+	r.Batches = encodeBatches(h.relayer.Missing(h.fleet.lacks(to)))
 	if c := h.catalog.Load(); c != nil {
 		r.ConfigVersion = c.Version()
 	}
@@ -200,15 +251,8 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id, n := range h.balancer.Loads() {
-		r.Loads = append(r.Loads, &schema.ServerLoad{ServerId: id, InFlight: uint32(n)})
-	}
-	for name, rate := range h.rationer.Demands(now) {
-		r.WorkspaceDemands = append(r.WorkspaceDemands, &schema.Rate{Name: name, PerS: rate})
-	}
-	for name, n := range h.rationer.Admitted() {
-		r.Admitted = append(r.Admitted, &schema.Count{Name: name, Events: n})
-	}
+	r.Loads = encodeLoads(h.balancer.Loads())
+	r.Uses = encodeUses(h.rationer.Demands(now), h.rationer.Admitted())
 	for name, rate := range h.balancer.Demands(now) {
 		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
@@ -230,42 +274,32 @@
 // receive takes the report of another host.
 func (h *Host) receive(r *schema.HostReport, trip clock.Millis) {
 	now := h.cfg.Clock.Now()
-	if !h.fleet.receive(r, now) {
+	moved, newer := h.fleet.receive(r, now)
+	if !newer {
 		return
 	}
-	h.knowledge.hear(r.GetRevisions(), now)
+	if moved != "" {
+		h.gossip.RemovePeer(moved)
+	}
+	h.relay(r.GetBatches())
+	h.relayer.Hear(decodeRevisions(r.GetRevisions()), now)
 	if asOf, ok := h.proof(r); ok {
 		h.advanceContact(asOf)
 	}
-	loads := make(map[string]int, len(r.GetLoads()))
-	for _, l := range r.GetLoads() {
-		loads[l.GetServerId()] = int(l.GetInFlight())
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.balancer.SetReport(r.GetName(), balancer.Report{
-		Region: r.GetRegion(), Loads: loads, Demands: rates(r.GetServiceDemands()),
-	}, now)
-	h.rationer.SetHost(r.GetName(), rationer.Report{
-		Incarnation: r.GetIncarnation(), Demands: rates(r.GetWorkspaceDemands()), Admitted: counts(r.GetAdmitted()),
+		Region: r.GetRegion(), Loads: decodeLoads(r.GetLoads(), h.serverNames), Demands: rates(r.GetServiceDemands()),
 	}, now)
 	if trip > 0 {
 		h.balancer.SetTrip(r.GetRegion(), float64(trip))
 	}
-}
-
-func rates(list []*schema.Rate) map[string]float64 {
-	out := make(map[string]float64, len(list))
-	for _, r := range list {
-		out[r.GetName()] = r.GetPerS()
-	}
-	return out
-}
-
-func counts(list []*schema.Count) map[string]uint64 {
-	out := make(map[string]uint64, len(list))
-	for _, c := range list {
-		out[c.GetName()] = c.GetEvents()
+	if h.catalog.Load() == nil {
+		// Without workspaces the numbers of admitted requests can't be told apart.
+		return
 	}
-	return out
+	demands, admitted := decodeUses(r.GetUses(), h.workspaceNames)
+	h.rationer.SetHost(r.GetName(), rationer.Report{
+		Incarnation: r.GetIncarnation(), Demands: demands, Admitted: admitted,
+	}, now)
 }
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -24,6 +24,7 @@
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/registrar"
+	"catkindyke/pkg/relayer"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/steerer"
 )
@@ -44,9 +45,19 @@
 	proofAge     clock.Millis = 1000
 	proofStep    clock.Millis = 500
 	maxProofRank              = 3
-	// lostTime is the time without an answer of the store after which callers are
-	// sent to other hosts.
-	lostTime clock.Millis = 1500
+	// lostProofAge replaces these when the watching hosts have lost the store: it is
+	// shorter than an outage in which servers' entries may lapse.
+	lostProofAge clock.Millis = 500
+	// watchDelay is the time after its start in which a host hears the others, and
+	// does not watch the store yet.
+	watchDelay clock.Millis = 1500
+	// relayQueue bounds the batches of changes that wait: a few from each neighbor.
+	relayQueue = 64
+	// informedAge is the age of what is known of the configuration up to which a
+	// host without the store counts as informed by others. It is above the age at
+	// which the last hosts ask in turn, and below the time after which entries of
+	// servers lapse in an outage, two of their pauses of 1.5 s.
+	informedAge clock.Millis = 2500
 	// allowancePart is the part of a rate's slack that the hosts' parts are larger
 	// by; what was admitted beyond the parts uses the rest.
 	allowancePart = 0.4
@@ -73,6 +84,8 @@
 	CallerAddress, PeerAddress string
 	// SeedPeers are peer addresses of some hosts, perhaps outdated.
 	SeedPeers []string
+	// Kinds are the kinds of objects in the store that the host follows.
+	Kinds []string
 	// Headers are the names of headers of requests.
 	Headers steerer.Headers
 	// WithdrawalLimit is the time after which a withdrawn key must not work; 0 for no limit.
@@ -107,6 +120,8 @@
 	rationer *rationer.Rationer
 	repeats  *rationer.Retries
 	splits   map[string]float64
+	// workspaceNames and serverNames decode the reports of other hosts.
+	workspaceNames, serverNames dictionary
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	contact atomic.Int64
@@ -114,19 +129,20 @@
 	storeLostAt atomic.Int64
 	leaving     atomic.Bool
 	sequence    atomic.Uint64
-	// known counts the lists that were read: servers, evacuations and hosts.
-	known atomic.Int32
-	fleet *fleet
-	// knowledge tells how current the view of the store is.
-	knowledge *knowledge
-	courier   *courier.Courier
-	gossip    *gossiper.Gossiper
-	steerer   *steerer.Steerer
+	// serversKnown, zonesKnown and hostsKnown say that a list was read.
+	serversKnown, zonesKnown, hostsKnown atomic.Bool
+	started                              clock.Millis
+	fleet                                *fleet
+	relayer                              *relayer.Relayer
+	// relayed are changes that other hosts have told of.
+	relayed chan relayer.Batch
+	courier *courier.Courier
+	gossip  *gossiper.Gossiper
+	steerer *steerer.Steerer
 
 	// The control goroutine alone uses these.
 	registrar  *registrar.Registrar
 	evacuated  map[string]bool
-	listsRead  map[string]bool
 	probing    map[string]bool
 	ticksSwept int
 }
@@ -142,9 +158,10 @@
 		balancer: balancer.New(balancer.Config{Region: cfg.Region, ShiftRate: cfg.ShiftRate}),
 		rationer: rationer.New(rationer.Config{SilentLife: silent, Allowance: allowancePart * cfg.RateSlack}),
 		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
-		fleet: newFleet(cfg), knowledge: newKnowledge(),
+		started: cfg.Clock.Now(), fleet: newFleet(cfg),
+		relayer: relayer.New(cfg.Kinds...), relayed: make(chan relayer.Batch, relayQueue),
 		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
-		registrar: registrar.New(), evacuated: make(map[string]bool), listsRead: make(map[string]bool),
+		registrar: registrar.New(), evacuated: make(map[string]bool),
 		probing: make(map[string]bool),
 	}
 	h.contact.Store(-1)
@@ -206,6 +223,9 @@
 // tick does the housekeeping that depends on time alone.
 func (h *Host) tick() {
 	now := h.cfg.Clock.Now()
+	if !h.informed() {
+		h.registrar.Lost(clock.Millis(h.contact.Load()))
+	}
 	if h.registrar.Expire(now) {
 		h.publishServers()
 	}
@@ -241,16 +261,17 @@
 	return asOf >= 0 && h.cfg.Clock.Now()-asOf <= h.cfg.WithdrawalLimit-currentMargin
 }
 
-// listsNeeded is the number of lists that a host reads before it is ready.
-const listsNeeded = 3
+// informed reports whether the host learns of changes, from the store or from
+// hosts that it answers.
+func (h *Host) informed() bool {
+	return h.storeLostAt.Load() == 0 || h.cfg.Clock.Now()-clock.Millis(h.contact.Load()) <= informedAge
+}
 
-// Ready reports whether callers should use this host. One that the store does
-// not answer may still serve, but learns of no change.
+// Ready reports whether callers should use this host. One that is not informed
+// may still serve, but learns of no change.
 func (h *Host) Ready() bool {
-	if lost := clock.Millis(h.storeLostAt.Load()); lost != 0 && h.cfg.Clock.Now()-lost > lostTime {
-		return false
-	}
-	return !h.leaving.Load() && h.catalog.Load() != nil && h.known.Load() >= listsNeeded && h.current()
+	return h.informed() && !h.leaving.Load() && h.catalog.Load() != nil &&
+		h.serversKnown.Load() && h.zonesKnown.Load() && h.hostsKnown.Load() && h.current()
 }
 
 // Leave begins a planned stop: other hosts stop naming this one to callers.
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -177,9 +177,6 @@
 	r.hosts[name] = h
 }
 
-// RemoveHost forgets a host that an operator has taken away for good.
-func (r *Rationer) RemoveHost(name string) { delete(r.hosts, name) }
-
 // Expire forgets the hosts that have been silent for longer than SilentLife.
 func (r *Rationer) Expire(now clock.Millis) {
 	for name, h := range r.hosts {
@@ -195,14 +192,14 @@
 	if b == nil || b.limit.Rate <= 0 {
 		return true, 0
 	}
-	r.fill(workspace, b, now)
+	reachable := r.fill(workspace, b, now)
 	b.count(now)
 	if b.tokens >= 1 {
 		b.tokens--
 		b.take()
 		return true, 0
 	}
-	if b.pooled(r.reachable(workspace, b, now), now) {
+	if b.pooled(reachable, now) {
 		b.take()
 		return true, 0
 	}
@@ -233,16 +230,6 @@
 	b.admitted++
 }
 
-// allFresh reports whether every known host was heard lately.
-func (r *Rationer) allFresh(now clock.Millis) bool {
-	for _, h := range r.hosts {
-		if !h.heard || !h.fresh(now) {
-			return false
-		}
-	}
-	return true
-}
-
 // fresh reports whether the host's next report is not overdue.
 func (h *host) fresh(now clock.Millis) bool {
 	return now-h.at <= silentSlack+clock.Millis(silentRounds*h.pause)
@@ -282,25 +269,19 @@
 	b.seen = now
 }
 
-// part is this host's part of a workspace's rate, from 0 to 1.
-func (r *Rationer) part(workspace string, b *bucket, now clock.Millis) float64 {
-	part := r.wanted(workspace, b)
-	if len(r.hosts) > 0 && !r.allFresh(now) {
-		part = math.Min(part, math.Min(b.agreed, b.settled))
-		part = math.Max(part, equalPart/float64(len(r.hosts)+1))
-	} else if now-b.settledAt >= settleTime {
-		b.settled, b.settledAt = b.agreed, now
-	}
-	b.agreed = part
-	return part
+// share is what the hosts' reports say of a workspace's rate.
+type share struct {
+	// wanted is the part of this host that follows the demands as they are known.
+	wanted float64
+	// reachable is the part of all hosts that are not silent. A silent host may be
+	// cut off and use its part, while this host's side of the cut follows the rest
+	// of the whole bucket.
+	reachable float64
 }
 
-// reachable is the part of a workspace's rate that is not reserved for silent
-// hosts. They may be cut off and use their parts, while this host's side of the
-// cut follows the rest of the whole bucket.
-func (r *Rationer) reachable(workspace string, b *bucket, now clock.Millis) float64 {
-	n := float64(len(r.hosts) + 1)
-	sum, silent, silentHosts := b.demand, 0.0, 0.0
+func (r *Rationer) share(workspace string, b *bucket, now clock.Millis) share {
+	hosts, silentHosts := float64(len(r.hosts)+1), 0.0
+	sum, silent := b.demand, 0.0
 	for _, h := range r.hosts {
 		demand := b.demand
 		if h.heard {
@@ -312,28 +293,24 @@
 			silentHosts++
 		}
 	}
-	reserved := silentHosts / n
-	if sum > 0 {
-		reserved = equalPart*silentHosts/n + (1-equalPart)*silent/sum
+	if sum <= 0 {
+		return share{wanted: 1 / hosts, reachable: 1 - silentHosts/hosts}
 	}
-	return 1 - reserved
+	part := func(n, demand float64) float64 { return equalPart*n/hosts + (1-equalPart)*demand/sum }
+	return share{wanted: part(1, b.demand), reachable: 1 - part(silentHosts, silent)}
 }
 
-// wanted is the part that follows the demands as they are known.
-func (r *Rationer) wanted(workspace string, b *bucket) float64 {
-	n := float64(len(r.hosts) + 1)
-	sum := b.demand
-	for _, h := range r.hosts {
-		if h.heard {
-			sum += h.Demands[workspace]
-		} else {
-			sum += b.demand
-		}
-	}
-	if sum <= 0 {
-		return 1 / n
+// part is this host's part of a workspace's rate, from 0 to 1.
+func (r *Rationer) part(b *bucket, s share, now clock.Millis) float64 {
+	part := s.wanted
+	if s.reachable < 1 {
+		part = math.Min(part, math.Min(b.agreed, b.settled))
+		part = math.Max(part, equalPart/float64(len(r.hosts)+1))
+	} else if now-b.settledAt >= settleTime {
+		b.settled, b.settledAt = b.agreed, now
 	}
-	return equalPart/n + (1-equalPart)*b.demand/sum
+	b.agreed = part
+	return part
 }
 
 // capacity is the number of tokens that this host may hold with a part.
@@ -341,14 +318,17 @@
 	return math.Max(1, b.limit.Burst*part+r.cfg.Allowance/float64(len(r.hosts)+1))
 }
 
-func (r *Rationer) fill(workspace string, b *bucket, now clock.Millis) {
-	part := r.part(workspace, b, now)
+// fill adds what was gained since the last time and returns the part of the
+// rate that is not reserved for silent hosts.
+func (r *Rationer) fill(workspace string, b *bucket, now clock.Millis) (reachable float64) {
+	s := r.share(workspace, b, now)
+	part := r.part(b, s, now)
 	if now > b.at {
 		gained := b.limit.Rate * float64(now-b.at) / 1000
 		b.tokens += part * gained
-		reachable := r.reachable(workspace, b, now)
-		b.level = math.Min(b.level+gained*reachable, b.limit.Burst*reachable)
+		b.level = math.Min(b.level+gained*s.reachable, b.limit.Burst*s.reachable)
 		b.at = now
 	}
 	b.tokens = math.Min(b.tokens, r.capacity(b, part))
+	return s.reachable
 }
--- /dev/null
+++ b/pkg/relayer/relayer_test.go
@@ -0,0 +1,187 @@
+package relayer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"catkindyke/pkg/clock"
+)
+
+func batch(after, upTo uint64, changes ...Change) Batch {
+	return Batch{Kind: "servers", After: after, UpTo: upTo, Changes: changes}
+}
+
+func put(name string, revision uint64) Change { return Change{Name: name, Revision: revision} }
+
+func told(changed, upTo uint64) []Revision {
+	return []Revision{{Kind: "servers", Changed: changed, UpTo: upTo}}
+}
+
+// names lists the objects of the batches in order.
+func names(batches []Batch) []string {
+	var out []string
+	for _, b := range batches {
+		for _, c := range b.Changes {
+			out = append(out, c.Name)
+		}
+	}
+	return out
+}
+
+func assertNames(t *testing.T, step string, batches []Batch, want ...string) {
+	t.Helper()
+	if got := names(batches); !slices.Equal(got, want) {
+		t.Errorf("%s: passes on %q, want %q", step, got, want)
+	}
+}
+
+func assertBehind(t *testing.T, step string, r *Relayer, now clock.Millis, want bool) {
+	t.Helper()
+	if got := len(r.Behind(now)) > 0; got != want {
+		t.Errorf("%s: behind is %v, want %v", step, got, want)
+	}
+}
+
+// A host that knows a little less is told exactly what it lacks.
+func TestMissing(t *testing.T) {
+	r := New("servers")
+	r.Listed("servers", 7, 10)
+	r.Applied(batch(10, 12, put("a", 11), put("b", 12)), 1000)
+	r.Applied(batch(12, 20, put("c", 13)), 1100)
+	assertNames(t, "a host at the list", r.Missing(told(7, 10)), "a", "b", "c")
+	assertNames(t, "a host one change behind", r.Missing(told(12, 12)), "c")
+	assertNames(t, "a host with all changes", r.Missing(told(13, 13)))
+	assertNames(t, "a host before the list", r.Missing(told(7, 9)))
+	if got := r.Missing(told(12, 12))[0]; got.After != 12 || got.UpTo != 20 {
+		t.Errorf("batch after %d up to %d, want 12 and 20", got.After, got.UpTo)
+	}
+}
+
+// What a host has told before a list may lack deletions.
+func TestListForgetsChanges(t *testing.T) {
+	r := New("servers")
+	r.Listed("servers", 7, 10)
+	r.Applied(batch(10, 12, put("a", 11)), 1000)
+	r.Listed("servers", 11, 15)
+	assertNames(t, "a host before the second list", r.Missing(told(7, 10)))
+}
+
+// The store may tell a deletion with the revision of the object's last change.
+func TestDeletionWithOldRevision(t *testing.T) {
+	r := New("servers")
+	r.Listed("servers", 7, 10)
+	r.Applied(batch(10, 12, put("b", 12)), 1000)
+	r.Applied(batch(12, 14, Change{Name: "a", Revision: 5, Deleted: true}), 1000)
+	assertNames(t, "a host that lacks the deletion", r.Missing(told(12, 12)), "a")
+}
+
+// Old changes are dropped, and a host that lacks them must ask the store.
+func TestOldChanges(t *testing.T) {
+	r := New("servers")
+	r.Listed("servers", 7, 10)
+	r.Applied(batch(10, 12, put("a", 11)), 1000)
+	r.Applied(batch(12, 13, put("b", 13)), 1001+changeLife)
+	assertNames(t, "a host that lacks the old change", r.Missing(told(7, 10)))
+	assertNames(t, "a host that lacks the new one", r.Missing(told(11, 12)), "b")
+}
+
+// A change that is too large for a report keeps others of its kind back, and
+// none of another kind.
+func TestLargeChange(t *testing.T) {
+	r := New("config", "servers")
+	r.Listed("config", 1, 1)
+	r.Listed("servers", 1, 1)
+	r.Applied(Batch{Kind: "config", After: 1, UpTo: 2, Changes: []Change{{Name: "main", Revision: 2, Content: make([]byte, maxBatchBytes+1)}}}, 0)
+	r.Applied(batch(1, 3, put("a", 3)), 0)
+	assertNames(t, "both kinds", r.Missing([]Revision{{Kind: "config", UpTo: 1}, {Kind: "servers", UpTo: 1}}), "a")
+}
+
+// A host that hears of a newer change asks the store when nobody tells it the change.
+func TestBehind(t *testing.T) {
+	r := New("servers")
+	r.Listed("servers", 7, 10)
+	r.Hear(told(9, 30), 1000)
+	assertBehind(t, "a revision without a change", r, 2000, false)
+	r.Hear(told(12, 12), 1000)
+	assertBehind(t, "at once", r, 1000+BehindTime-1, false)
+	assertBehind(t, "after a while", r, 1000+BehindTime, true)
+	r.Applied(batch(10, 12, put("a", 12)), 2000)
+	assertBehind(t, "with the change", r, 3000, false)
+}
+
+// Hosts that learn only from one another, in any order and with batches cut at
+// any size, end with what the store holds.
+func TestRelayedChangesAreComplete(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const hosts = 4
+		var relayers [hosts]*Relayer
+		var views [hosts]map[string]uint64
+		var known [hosts]uint64
+		for i := range hosts {
+			relayers[i] = New("servers")
+			relayers[i].Listed("servers", 1, 1)
+			views[i], known[i] = make(map[string]uint64), 1
+		}
+		apply := func(i int, b Batch, now clock.Millis) {
+			if b.UpTo <= known[i] || b.After > known[i] {
+				return
+			}
+			for _, c := range b.Changes {
+				if c.Deleted {
+					delete(views[i], c.Name)
+				} else if c.Revision > known[i] {
+					views[i][c.Name] = c.Revision
+				}
+			}
+			known[i] = b.UpTo
+			relayers[i].Applied(b, now)
+		}
+		store := make(map[string]uint64)
+		rev, now := uint64(1), clock.Millis(0)
+		content := make([]byte, rapid.IntRange(0, maxBatchBytes/2).Draw(rt, "bytes"))
+		for range rapid.IntRange(1, 40).Draw(rt, "rounds") {
+			now += 100
+			b := Batch{Kind: "servers", After: rev}
+			changed := make(map[string]bool)
+			for range rapid.IntRange(0, 4).Draw(rt, "changes") {
+				name := fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "object"))
+				if changed[name] {
+					continue
+				}
+				changed[name] = true
+				rev++
+				c := Change{Name: name, Revision: rev, Content: content}
+				if old, ok := store[name]; ok && rapid.Bool().Draw(rt, "delete") {
+					c.Deleted, c.Revision = true, old
+					delete(store, name)
+				} else {
+					store[name] = rev
+				}
+				b.Changes = append(b.Changes, c)
+			}
+			b.UpTo = rev
+			apply(0, b, now) // the watcher
+			for range 6 {
+				from, to := rapid.IntRange(0, hosts-1).Draw(rt, "from"), rapid.IntRange(0, hosts-1).Draw(rt, "to")
+				for _, missing := range relayers[from].Missing(relayers[to].Revisions()) {
+					apply(to, missing, now)
+				}
+			}
+		}
+		for range 200 {
+			for i := 1; i < hosts; i++ {
+				for _, missing := range relayers[0].Missing(relayers[i].Revisions()) {
+					apply(i, missing, now)
+				}
+			}
+		}
+		for i := range hosts {
+			if fmt.Sprint(views[i]) != fmt.Sprint(store) {
+				rt.Errorf("host %d has %v, want %v", i, views[i], store)
+			}
+		}
+	})
+}
