Screen callers' headers, bound bodies in time and size, contain panics

Cause: net/http accepts a request with both a length and a transfer coding, and folded header lines, and reads what follows as the next request; the host answered 200. Header size, header time and idle time of callers were constants, though the configuration has them. A body that did not come held its request without end, and one without a stated length was not bounded. A panic left its request counted at the server.

Change: pkg/screener notes the framing of each request as the connection is read, alters nothing, and refuses ambiguous ones with 400 and too large headers with 431; net/http's deadlines are replaced by the limits in force. Bodies have the time of their request (408, truthful: nothing was sent) and the configured size (413). A panic is one line and one failed request.

Ruled out: an own parser of requests (net/http does it); limits set at the start only (a configuration changes them while connections are open).

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -1,10 +1,12 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +26,7 @@
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/schema"
+	"catkindyke/pkg/screener"
 	"catkindyke/platform"
 	"catkindyke/service/peerserver"
 )
@@ -43,11 +46,12 @@
 	// memoryShare is the part of the memory limit that the Go runtime may use;
 	// buffers of the kernel take the rest.
 	memoryShare = 0.7
-	// hostHeaderBytes, hostHeaderTimeout and hostIdleTimeout bound callers before a
-	// configuration says more.
-	hostHeaderBytes   = 32 << 10
+	// hostHeaderTimeout and hostIdleTimeout bound callers before a configuration
+	// says more, and the platform's own calls.
 	hostHeaderTimeout = 5 * time.Second
 	hostIdleTimeout   = 60 * time.Second
+	// hostHeaderBytes bounds the memory that a header takes, whatever is configured.
+	hostHeaderBytes = 1 << 20
 )
 
 func (c *Commander) hostCommand() *ffcli.Command {
@@ -164,8 +168,12 @@
 		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready)},
 		{settings.MetricsAddress, platform.MetricsHandler(metrics.WriteText)},
 	}
+	screen := screener.New(screener.Config{Limits: callerLimits(h), Refused: func(remote, reason string) {
+		metrics.Add("headers_refused", 1)
+		log.Warn().Str("caller", remote).Str("reason", reason).Msg("request_refused_by_header")
+	}})
 	var servers []*http.Server
-	for _, l := range handlers {
+	for i, l := range handlers {
 		if l.address == "" {
 			continue
 		}
@@ -175,6 +183,11 @@
 		}
 		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: hostHeaderTimeout, IdleTimeout: hostIdleTimeout, MaxHeaderBytes: hostHeaderBytes,
+			ErrorLog: stdlog.New(serverLog{log}, "", 0),
+		}
+		if i == 0 {
+			screen.Install(server)
+			listener = screen.Listen(listener)
 		}
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -186,6 +199,28 @@
 	return servers, nil
 }
 
+// serverLog takes the lines of net/http.
+type serverLog struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (l serverLog) Write(line []byte) (int, error) {
+	l.log.Debug().Bytes("text", bytes.TrimSpace(line)).Msg("http_server")
+	return len(line), nil
+}
+
+// callerLimits returns the limits on callers of the configuration in force.
+func callerLimits(h *hoster.Host) func() screener.Limits {
+	return func() screener.Limits {
+		l, ok := h.CallerLimits()
+		if !ok {
+			return screener.Limits{
+				HeaderTimeout: clock.FromDuration(hostHeaderTimeout), IdleTimeout: clock.FromDuration(hostIdleTimeout),
+			}
+		}
+		return screener.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	}
+}
+
 // stopHost takes the host out of look-up answers, serves what still comes, and
 // ends when no request is left.
 func stopHost(settings platform.Settings, h *hoster.Host, servers []*http.Server, log zerolog.Logger) {
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -185,6 +185,15 @@
 // Steerer returns the handler of callers' requests.
 func (h *Host) Steerer() *steerer.Steerer { return h.steerer }
 
+// CallerLimits returns the bounds on callers of the configuration in force, if there is one.
+func (h *Host) CallerLimits() (cataloger.Limits, bool) {
+	c := h.catalog.Load()
+	if c == nil {
+		return cataloger.Limits{}, false
+	}
+	return c.Limits(), true
+}
+
 // Exchange answers the reports of other hosts.
 func (h *Host) Exchange(ctx context.Context, r *schema.HostReport) (*schema.HostReport, error) {
 	return h.gossip.Exchange(ctx, r)
--- /dev/null
+++ b/pkg/screener/screener.go
@@ -0,0 +1,158 @@
+// Package screener watches the requests on callers' connections for what
+// net/http accepts and a proxy should not, and bounds their headers by limits
+// that may change while connections are open.
+//
+// A request with both a length and a transfer coding, or with a folded header
+// line, may be read in two ways, and so hide another request. It is answered
+// with 400, one whose header is too large with 431, and the connection closes.
+package screener
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"catkindyke/pkg/clock"
+)
+
+// Limits bound what callers send. Fields that are 0 do not bound.
+type Limits struct {
+	// HeaderBytes bounds the header of a request.
+	HeaderBytes int
+	// HeaderTimeout is the longest time from the first byte of a header to its last.
+	HeaderTimeout clock.Millis
+	// IdleTimeout is the longest time between two requests on a connection.
+	IdleTimeout clock.Millis
+}
+
+const (
+	// headerMark and idleMark are given to net/http as timeouts, and are replaced by
+	// the limits in force when it sets a deadline. They differ from each other and
+	// from all real timeouts.
+	headerMark = 24 * time.Hour
+	idleMark   = 48 * time.Hour
+	// markSlack is above the time between the computation of a deadline and its use.
+	markSlack = time.Hour
+)
+
+// Config configures a screener.
+type Config struct {
+	// Limits returns the limits in force.
+	Limits func() Limits
+	// Refused is told of each refused request.
+	Refused func(remote, reason string)
+}
+
+// Screener screens the connections of one server.
+type Screener struct{ cfg Config }
+
+// New returns a screener.
+func New(cfg Config) *Screener { return &Screener{cfg: cfg} }
+
+type connKey struct{}
+
+// Install makes a server screen its requests. The server must be served with
+// a listener of Listen.
+func (s *Screener) Install(server *http.Server) {
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if status, reason := s.verdict(c.next()); status != 0 {
+				s.cfg.Refused(r.RemoteAddr, reason)
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(status)
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+	server.ReadHeaderTimeout, server.IdleTimeout = headerMark, idleMark
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+}
+
+func (s *Screener) verdict(h header) (status int, reason string) {
+	limits := s.cfg.Limits()
+	switch {
+	case h.folded:
+		return http.StatusBadRequest, "folded_header"
+	case h.length && h.coding:
+		return http.StatusBadRequest, "length_and_coding"
+	case limits.HeaderBytes > 0 && h.bytes > limits.HeaderBytes:
+		return http.StatusRequestHeaderFieldsTooLarge, "header_too_large"
+	}
+	return 0, ""
+}
+
+// Listen returns a listener whose connections are screened.
+func (s *Screener) Listen(l net.Listener) net.Listener { return listener{l, s} }
+
+type listener struct {
+	net.Listener
+	s *Screener
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, s: l.s}, nil
+}
+
+// conn notes the headers of the requests that are read from it, in order.
+type conn struct {
+	net.Conn
+	s *Screener
+
+	mu      sync.Mutex
+	scanner scanner
+	headers []header
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.headers = c.scanner.scan(p[:n], c.headers)
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// next returns the header of the request that a handler begins with.
+func (c *conn) next() header {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.headers) == 0 {
+		return header{}
+	}
+	h := c.headers[0]
+	c.headers = c.headers[1:]
+	return h
+}
+
+// SetReadDeadline implements net.Conn; deadlines that stand for a limit are replaced.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	limits := c.s.cfg.Limits()
+	switch left := time.Until(t); {
+	case t.IsZero():
+	case left > idleMark-markSlack:
+		t = deadline(limits.IdleTimeout)
+	case left > headerMark-markSlack:
+		t = deadline(limits.HeaderTimeout)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func deadline(limit clock.Millis) time.Time {
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(limit.Duration())
+}
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -8,7 +8,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strconv"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -122,6 +125,8 @@
 	choice balancer.Choice
 	// known says that the chosen server is known to hold the object.
 	known bool
+	// placed says that placement counts the request at the chosen server.
+	placed bool
 }
 
 // refusal is an answer of the host's own.
@@ -134,6 +139,7 @@
 // ServeHTTP serves one request.
 func (s *Steerer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{w: w, r: r, id: r.Header.Get(s.cfg.Headers.RequestID), start: s.cfg.Clock.Now()}
+	defer s.contain(x)
 	if s.cfg.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -157,6 +163,24 @@
 	s.pass(x, answer)
 }
 
+// contain ends a request that panics; others go on.
+func (s *Steerer) contain(x *exchange) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	// net/http closes the connection without a line of its own for this value.
+	defer panic(http.ErrAbortHandler)
+	if cause == http.ErrAbortHandler {
+		return
+	}
+	if x.placed {
+		s.done(x, balancer.Abandoned, 0)
+	}
+	s.cfg.Meter.Add("panics", 1)
+	s.cfg.Log.Error().Str("request", x.id).Any("cause", cause).Bytes("stack", debug.Stack()).Msg("request_panicked")
+}
+
 // check finds the route and decides whether the request may run.
 func (s *Steerer) check(x *exchange) *refusal {
 	x.catalog = s.cfg.Catalog()
@@ -231,24 +255,46 @@
 	return parts[len(parts)-1].Service
 }
 
-// readBody holds a body of moderate size in memory.
+// readBody holds a body of moderate size in memory. A body must come within the
+// time of its request.
 func (s *Steerer) readBody(x *exchange) *refusal {
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return nil
+	}
+	if limit := x.catalog.Limits().BodyBytes; limit > 0 {
+		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
+	}
+	s.setReadDeadline(x, time.Now().Add(s.left(x).Duration()))
 	if x.r.ContentLength > maxBufferedBody {
 		x.stream = x.r.Body
 		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, maxBufferedBody+1))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{http.StatusRequestTimeout, "body_late", 0}
+	case err != nil:
 		return &refusal{http.StatusBadRequest, "unreadable_body", 0}
-	}
-	x.body = body
-	if len(body) > maxBufferedBody {
+	case len(body) > maxBufferedBody:
 		x.stream = io.MultiReader(newReader(body), x.r.Body)
-		x.body = nil
+	default:
+		x.body = body
+		s.setReadDeadline(x, time.Time{})
 	}
 	return nil
 }
 
+// setReadDeadline bounds reads of the caller's connection; net/http sets its own
+// deadline before the next request.
+func (s *Steerer) setReadDeadline(x *exchange, t time.Time) {
+	if err := http.NewResponseController(x.w).SetReadDeadline(t); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		s.cfg.Log.Debug().Str("request", x.id).Err(err).Msg("read_deadline_failed")
+	}
+}
+
 func (s *Steerer) left(x *exchange) clock.Millis { return x.limit - (s.cfg.Clock.Now() - x.start) }
 
 // deliver sends the request to servers until one has answered or no further
@@ -265,9 +311,7 @@
 		began := s.cfg.Clock.Now()
 		answer, err := s.cfg.Send(ctx, courier.Target{ID: x.choice.Server.ID, Address: x.choice.Server.Address}, s.outgoing(x))
 		res := s.result(ctx, answer, err)
-		s.cfg.Done(balancer.Exchange{
-			Choice: x.choice, Class: x.route.Name, Known: x.known, Result: res, Took: s.cfg.Clock.Now() - began,
-		})
+		s.done(x, res, s.cfg.Clock.Now()-began)
 		x.tried = append(x.tried, x.choice.Server.ID)
 		if !errors.Is(err, courier.ErrNotSent) {
 			x.sent++
@@ -296,6 +340,12 @@
 	}
 }
 
+// done tells placement how the exchange with the chosen server ended.
+func (s *Steerer) done(x *exchange, res balancer.Result, took clock.Millis) {
+	x.placed = false
+	s.cfg.Done(balancer.Exchange{Choice: x.choice, Class: x.route.Name, Known: x.known, Result: res, Took: took})
+}
+
 // place asks placement for a server.
 func (s *Steerer) place(x *exchange) *refusal {
 	left := s.left(x)
@@ -311,6 +361,7 @@
 	if x.choice.Refused {
 		return &refusal{http.StatusServiceUnavailable, x.choice.Reason, x.choice.RetryAfter}
 	}
+	x.placed = true
 	return nil
 }
 
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
@@ -353,3 +354,86 @@
 		}
 	})
 }
+
+// serve starts a server whose callers reach the fixture's steerer.
+func serve(t *testing.T, f *fixture) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(f.steerer)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// post sends a booking with a body and returns the status, 0 without an answer.
+func post(t *testing.T, server *httptest.Server, body io.Reader) int {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, server.URL+"/book/", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Key", "k1")
+	r.Header.Set("Deadline", "300")
+	resp, err := server.Client().Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A caller whose body does not come held its request without end.
+func TestLateBody(t *testing.T) {
+	withSteerer(t, func(f *fixture) {
+		server := serve(t, f)
+		body, end := io.Pipe()
+		defer end.Close()
+		began := time.Now()
+		if status := post(t, server, body); status != http.StatusRequestTimeout {
+			t.Errorf("status %d, want 408", status)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("took %v for a request with 300 ms", took)
+		}
+		if len(f.sent) != 0 {
+			t.Error("a request without its body was sent")
+		}
+	})
+}
+
+// The limit was only checked against a stated length.
+func TestLargeBodyWithoutLength(t *testing.T) {
+	withSteerer(t, func(f *fixture) {
+		server := serve(t, f)
+		if status := post(t, server, io.MultiReader(strings.NewReader(strings.Repeat("x", 1001)))); status != http.StatusRequestEntityTooLarge {
+			t.Errorf("status %d, want 413", status)
+		}
+		if status := post(t, server, io.MultiReader(strings.NewReader(strings.Repeat("x", 1000)))); status != http.StatusOK {
+			t.Errorf("status %d for a body within the limit, want 200", status)
+		}
+	})
+}
+
+// A panic fails one request, and its place at the server is given back.
+func TestPanic(t *testing.T) {
+	withSteerer(t, func(f *fixture) {
+		server := serve(t, f)
+		f.reply = func(n int) (*courier.Answer, error) {
+			if n == 0 {
+				panic("broken")
+			}
+			return served("ok"), nil
+		}
+		if status := post(t, server, strings.NewReader("x")); status != 0 {
+			t.Errorf("status %d, want none", status)
+		}
+		if len(f.done) != 1 || f.done[0].Result != balancer.Abandoned {
+			t.Errorf("exchanges %v, want one that was abandoned", f.done)
+		}
+		if status := post(t, server, strings.NewReader("x")); status != http.StatusOK {
+			t.Errorf("status %d of the next request, want 200", status)
+		}
+		if len(f.done) != 2 {
+			t.Errorf("%d exchanges done, want 2", len(f.done))
+		}
+	})
+}
