--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -38,6 +38,9 @@
 	// shiftPart is the part of the allowed shift between regions, which is given for
 	// 2 s, that shares use; chance and repeats use the rest.
 	shiftPart = 0.3
+	// coldReserve is kept of the number of requests that a cold server may get beyond
+	// its rate, for hosts that count different numbers of live ones.
+	coldReserve = 1
 	// stopReserve is kept of the grace time of a stop for the end of the process.
 	stopReserve = 500 * time.Millisecond
 	// lingerTime is the part of a planned stop in which new connections are still
@@ -100,7 +103,8 @@
 		Kinds: platform.Kinds(), Headers: platform.Headers(), WithdrawalLimit: settings.WithdrawalLimit,
 		Repeats:   rationer.RetryConfig{Ratio: settings.RepeatRatio, Window: settings.RepeatWindow, Slack: settings.RepeatSlack},
 		RateSlack: settings.RateSlack, ShiftRate: shiftPart * settings.MaxShift / 2,
-		LookupAge: min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: metrics,
+		ColdSenders: max(1, int(settings.ColdSlack-coldReserve)),
+		LookupAge:   min(lookupAge, settings.MaxLookupAge), DialPeer: dial.Fleet, Clock: clk, Log: log, Meter: metrics,
 	})
 	client := platform.NewClient(settings.StoreAddress)
 	follower := platform.NewFollower(running, platform.FollowerConfig{
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -97,6 +97,25 @@
 	// ShiftRate is the largest change a second of the share of a region's requests
 	// that another region serves.
 	ShiftRate float64
+	// ColdSenders bounds the hosts that send requests to one cold server, because
+	// each may begin with one at once; 0 means all of its region.
+	ColdSenders int
+}
+
+// Hosts are the live hosts of the fleet, this one included.
+type Hosts struct {
+	ByRegion map[string]int
+	// Position and FleetPosition are the numbers of hosts of this region and of the
+	// fleet that come before this one.
+	Position, FleetPosition int
+}
+
+func (h Hosts) total() int {
+	sum := 0
+	for _, n := range h.ByRegion {
+		sum += n
+	}
+	return sum
 }
 
 // Balancer holds what one host knows of the load of backend servers.
@@ -108,9 +127,8 @@
 	reports map[string]Report
 	trips   map[string]float64
 	demands map[string]*rate
-	// regionHosts is the number of live hosts by region.
-	regionHosts map[string]int
-	stepped     clock.Millis
+	hosts   Hosts
+	stepped clock.Millis
 	// turn varies the rank of requests without an object.
 	turn uint64
 }
@@ -130,7 +148,7 @@
 	return &Balancer{
 		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool),
 		classes: make(map[string]*class), reports: make(map[string]Report), trips: make(map[string]float64),
-		demands: make(map[string]*rate), regionHosts: map[string]int{cfg.Region: 1},
+		demands: make(map[string]*rate), hosts: Hosts{ByRegion: map[string]int{cfg.Region: 1}},
 	}
 }
 
@@ -178,8 +196,8 @@
 	}
 }
 
-// SetHosts sets the number of live hosts by region, this host included.
-func (b *Balancer) SetHosts(byRegion map[string]int) { b.regionHosts = byRegion }
+// SetHosts sets the live hosts.
+func (b *Balancer) SetHosts(hosts Hosts) { b.hosts = hosts }
 
 // SetTrip notes a measured round trip to a region in milliseconds.
 func (b *Balancer) SetTrip(region string, ms float64) {
@@ -215,9 +233,10 @@
 type candidate struct {
 	s    *server
 	warm bool
-	// estimate is the time until an answer, and wait the part of it before the work begins.
-	estimate, wait float64
-	load           int
+	// estimate is the time until an answer; wait is the part of it before the work
+	// begins, and work that of the work.
+	estimate, wait, work float64
+	load                 int
 }
 
 // Choose decides where a request goes. The caller calls Start when it sends
@@ -244,7 +263,7 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: retryAfter(c.warm)}
 	}
 	choice := Choice{Server: best.s.Server, Warm: best.warm, Load: best.load, Estimate: clock.Millis(best.estimate)}
-	if over := b.excess(req, c, best); over > 0 {
+	if over := b.excess(req, c, best, now); over > 0 {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
 		choice.RetryAfter = retryAfter((over + c.warm) * b.spread())
 	}
@@ -298,7 +317,7 @@
 	work *= s.slowness
 	wait := c.wait(s, load)
 	crowd := crowding * work * math.Min(1, float64(load)/float64(s.Slots))
-	return candidate{s: s, warm: warm, load: load, wait: wait, estimate: b.trip(s.Region) + wait + work + crowd}
+	return candidate{s: s, warm: warm, load: load, wait: wait, work: work, estimate: b.trip(s.Region) + wait + work + crowd}
 }
 
 // wait is the time until a server's slot is free for one more request.
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -93,13 +93,14 @@
 	// moving says that the weights move towards their target.
 	moving bool
 	// work is the mean time that a request takes a slot, in milliseconds.
-	work float64
+	work  float64
+	queue queue
 }
 
 func newPool(old *pool) *pool {
 	p := &pool{slots: make(map[string]float64)}
 	if old != nil {
-		p.weights, p.work, p.moving = old.weights, old.work, old.moving
+		p.weights, p.work, p.moving, p.queue = old.weights, old.work, old.moving, old.queue
 	}
 	return p
 }
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -100,19 +100,25 @@
 }
 
 // hasColdToken reports whether this host may send a request to a cold server now.
-// Only the hosts of its region do, each with an equal part of the rate, so that
-// the fleet keeps the bound without exchanging messages.
+// Some hosts of its region do, each with an equal part of the rate, so that the
+// fleet keeps the bound without exchanging messages.
 func (s *server) hasColdToken(b *Balancer, now clock.Millis) bool {
-	hosts := b.regionHosts[s.Region]
+	hosts, position := b.hosts.ByRegion[s.Region], b.hosts.Position
 	switch {
 	case hosts == 0:
-		for _, n := range b.regionHosts {
-			hosts += n
-		}
+		hosts, position = b.hosts.total(), b.hosts.FleetPosition
 	case s.Region != b.cfg.Region:
 		return false
 	}
-	rate := coldMargin * s.ColdRate / float64(max(1, hosts))
+	senders := max(1, hosts)
+	if b.cfg.ColdSenders > 0 && senders > b.cfg.ColdSenders {
+		turn := (uint64(position) + s.hash()) % uint64(senders)
+		if turn >= uint64(b.cfg.ColdSenders) {
+			return false
+		}
+		senders = b.cfg.ColdSenders
+	}
+	rate := coldMargin * s.ColdRate / float64(senders)
 	s.coldTokens = math.Min(coldBurst, s.coldTokens+rate*float64(now-s.coldAt)/1000)
 	s.coldAt = now
 	return s.coldTokens >= 1
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// liveTime is the time after a host's last report for which it counts as live;
-	// it spans several exchanges.
-	liveTime clock.Millis = 1500
+	// liveTime is the shortest time after a host's last report for which it counts
+	// as live, several exchanges in a small fleet, and livePauses the number of its
+	// usual pauses in a large one.
+	liveTime   clock.Millis = 1500
+	livePauses              = 2.5
+	// pauseWeight is the weight of one pause between reports in the usual one.
+	pauseWeight = 0.2
 	// minNamed is the number of hosts below which a look-up answer also names
 	// hosts of other regions.
 	minNamed = 1
@@ -30,10 +34,17 @@
 	incarnation, sequence            uint64
 	ready, leaving, storeLost        bool
 	heard                            clock.Millis
+	// pause is the usual time between reports.
+	pause float64
 	// revisions tell what the host knew of the store.
 	revisions []relayer.Revision
 }
 
+// lives reports whether the host was heard lately.
+func (m *member) lives(now clock.Millis) bool {
+	return now-m.heard <= max(liveTime, clock.Millis(livePauses*m.pause))
+}
+
 // fleet holds the other hosts by name.
 type fleet struct {
 	cfg     Config
@@ -84,7 +95,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for _, m := range f.members {
-		if now-m.heard <= liveTime && !m.leaving && m.name < f.cfg.Name {
+		if m.lives(now) && !m.leaving && m.name < f.cfg.Name {
 			n++
 		}
 	}
@@ -122,7 +133,7 @@
 }
 
 func (m *member) isNeighbor(cfg Config, now clock.Millis) bool {
-	return m.region == cfg.Region && !m.leaving && now-m.heard <= liveTime
+	return m.region == cfg.Region && !m.leaving && m.lives(now)
 }
 
 // lacks returns what a host knew of the store, if it hears of changes from this
@@ -167,6 +178,9 @@
 	}
 	m.incarnation, m.sequence = r.GetIncarnation(), r.GetSequence()
 	m.region, m.zone, m.caller, m.peer = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
+	if m.heard > 0 && m.lives(now) {
+		m.pause += pauseWeight * (float64(now-m.heard) - m.pause)
+	}
 	m.ready, m.leaving, m.storeLost, m.heard = r.GetReady(), r.GetLeaving(), r.GetStoreLost(), now
 	m.revisions = decodeRevisions(r.GetRevisions())
 	return moved, true
@@ -175,20 +189,27 @@
 // size is the number of live hosts, this one included.
 func (f *fleet) size(now clock.Millis) int {
 	n := 0
-	for _, hosts := range f.byRegion(now) {
+	for _, hosts := range f.hosts(now).ByRegion {
 		n += hosts
 	}
 	return n
 }
 
-// byRegion counts the live hosts, this one included.
-func (f *fleet) byRegion(now clock.Millis) map[string]int {
+// hosts returns the live hosts, this one included.
+func (f *fleet) hosts(now clock.Millis) balancer.Hosts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := map[string]int{f.cfg.Region: 1}
+	out := balancer.Hosts{ByRegion: map[string]int{f.cfg.Region: 1}}
 	for _, m := range f.members {
-		if now-m.heard <= liveTime {
-			out[m.region]++
+		if !m.lives(now) {
+			continue
+		}
+		out.ByRegion[m.region]++
+		if m.name < f.cfg.Name {
+			out.FleetPosition++
+			if m.region == f.cfg.Region {
+				out.Position++
+			}
 		}
 	}
 	return out
@@ -211,7 +232,7 @@
 		add(f.cfg.Region, f.cfg.CallerAddress)
 	}
 	for _, m := range f.members {
-		if m.ready && !m.leaving && now-m.heard <= liveTime {
+		if m.ready && !m.leaving && m.lives(now) {
 			add(m.region, m.caller)
 		}
 	}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -97,6 +97,8 @@
 	// ShiftRate is the largest change a second of the share of a region's requests
 	// that another region serves.
 	ShiftRate float64
+	// ColdSenders bounds the hosts that send requests to one cold server.
+	ColdSenders int
 	// LookupAge is the time for which callers keep a look-up answer.
 	LookupAge clock.Millis
 	// DialPeer returns a client of another host.
@@ -155,7 +157,9 @@
 	}
 	h := &Host{
 		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), events: make(chan func(), eventQueue), ctx: ctx,
-		balancer: balancer.New(balancer.Config{Region: cfg.Region, ShiftRate: cfg.ShiftRate}),
+		balancer: balancer.New(balancer.Config{
+			Region: cfg.Region, ShiftRate: cfg.ShiftRate, ColdSenders: cfg.ColdSenders,
+		}),
 		rationer: rationer.New(rationer.Config{SilentLife: silent, Allowance: allowancePart * cfg.RateSlack}),
 		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
 		started: cfg.Clock.Now(), fleet: newFleet(cfg),
@@ -240,7 +244,7 @@
 	}
 	h.mu.Lock()
 	h.balancer.Step(now)
-	h.balancer.SetHosts(h.fleet.byRegion(now))
+	h.balancer.SetHosts(h.fleet.hosts(now))
 	h.rationer.Expire(now)
 	suspects := h.balancer.Unreachable()
 	h.mu.Unlock()
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -116,7 +116,8 @@
 		upTo := cmp.Or(c.Revision, b.UpTo)
 		if c.Deleted {
 			// The store may give a deleted object the revision of its last change.
-			upTo = b.UpTo
+			// Without content, all deletions of an answer fit into a report together.
+			upTo, c.Content = b.UpTo, nil
 		}
 		if upTo <= k.upTo {
 			continue
