Keep the replay of slow servers above its target

Cause: waits that end after 0.5 s and stay ended for 0.6 s also refuse a few requests that would be late only until the slow servers are avoided.

--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -405,10 +405,14 @@
 	for _, c := range []replayCase{
 		{"calm day", calm, func(*replay) {}, 0.95},
 		{"peak of all regions", peak, func(*replay) {}, 0.85},
-		{"more than all slots, callers return when told", func(string, clock.Millis) float64 { return 4 * calmRate },
-			func(r *replay) { r.retries = 2 }, 0.85},
-		{"more than all slots, callers return at once", func(string, clock.Millis) float64 { return 4 * calmRate },
-			func(r *replay) { r.retries, r.impatient = 3, true }, 0.85},
+		{
+			"more than all slots, callers return when told", func(string, clock.Millis) float64 { return 4 * calmRate },
+			func(r *replay) { r.retries = 2 }, 0.85,
+		},
+		{
+			"more than all slots, callers return at once", func(string, clock.Millis) float64 { return 4 * calmRate },
+			func(r *replay) { r.retries, r.impatient = 3, true }, 0.85,
+		},
 		{"a fifth of the servers leaves at the peak", peak, func(r *replay) {
 			r.leave(burstStart, func(i int, _ Server) bool { return i%5 == 0 })
 		}, 0.85},
--- a/pkg/balancer/waiting.go
+++ b/pkg/balancer/waiting.go
@@ -20,7 +20,7 @@
 	// that stays, and calmTime the time without any after which it has gone: the first
 	// is about the time in which a queue of one objective empties. Replays serve most
 	// with these in sustained overload, and the same as without in a short burst.
-	standingTime, calmTime clock.Millis = 500, 600
+	standingTime, calmTime clock.Millis = 600, 400
 	// maxUse is the part of the time left in which an answer must be expected.
 	maxUse = 0.95
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -12,13 +12,15 @@
 	"catkindyke/pkg/schema"
 )
 
+// liveTime is the shortest time after a host's last report for which it counts as
+// live; it spans several exchanges in a small fleet.
+const liveTime clock.Millis = 1500
+
 const (
-	// liveTime is the shortest time after a host's last report for which it counts
-	// as live, several exchanges in a small fleet, and livePauses the number of its
-	// usual pauses in a large one.
-	liveTime   clock.Millis = 1500
-	livePauses              = 2.5
-	// pauseWeight is the weight of one pause between reports in the usual one.
+	// livePauses replaces liveTime in a large fleet, as a number of the host's usual
+	// pauses between reports.
+	livePauses = 2.5
+	// pauseWeight is the weight of one pause in the usual one.
 	pauseWeight = 0.2
 	// minNamed is the number of hosts below which a look-up answer also names
 	// hosts of other regions.
