--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -32,7 +32,8 @@
 	// Lost notes that the store does not answer, Regained that it does again.
 	Lost     func(err error)
 	Regained func()
-	// Informed reports whether the host learns of changes without the store.
+	// Informed reports whether the host learns of changes, from the store or from
+	// other hosts.
 	Informed func() bool
 	// Servers takes the list of backend servers, Server and ServerGone one change of it.
 	Servers    func(list []registrar.Server)
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -394,6 +394,7 @@
 		if took := time.Since(began); took > 5*time.Second {
 			t.Errorf("took %v for a request with 300 ms", took)
 		}
+		server.Close()
 		if len(f.sent) != 0 {
 			t.Error("a request without its body was sent")
 		}
@@ -426,12 +427,15 @@
 		if status := post(t, server, strings.NewReader("x")); status != 0 {
 			t.Errorf("status %d, want none", status)
 		}
+		server.Close() // waits for the handler
 		if len(f.done) != 1 || f.done[0].Result != balancer.Abandoned {
 			t.Errorf("exchanges %v, want one that was abandoned", f.done)
 		}
+		server = serve(t, f)
 		if status := post(t, server, strings.NewReader("x")); status != http.StatusOK {
 			t.Errorf("status %d of the next request, want 200", status)
 		}
+		server.Close()
 		if len(f.done) != 2 {
 			t.Errorf("%d exchanges done, want 2", len(f.done))
 		}
