Never give an unidentified answer to a caller, and tell callers the truth after a lost answer

Cause: the courier took an answer without an ID on a used connection for the answer to its request, and health checks, which carry none, used the connections of requests: after a second copy of an answer the answer to a check came to the next caller. A late answer of more than 1 MB was skipped in part, and its body read as further answers. A request that may be repeated and had lost its answer was answered 503, which promises that it has not run, when placement or the next server refused it. Bodies without end took 1 MB each. Tests that failed before: TestUnidentifiedAnswer, TestHealthCheckKeepsNoConnection, TestEndlessBodies (208 MB for 200 answers, bound 32 MB), TestRefusalAfterLostAnswer. TestEndlessHead passed before: heads were bounded.

--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -27,6 +27,9 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrNoAnswer says that the request was sent and has no whole answer; it may have run.
 	ErrNoAnswer = errors.New("no answer")
+	// ErrForeignAnswer says that what came on the connection can't be told from an
+	// answer to another request.
+	ErrForeignAnswer = errors.New("answer to another request")
 )
 
 const (
@@ -35,10 +38,12 @@
 	dialTimeout = 350 * time.Millisecond
 	// maxAnswerHeaderBytes bounds the memory that an answer's header takes.
 	maxAnswerHeaderBytes = 64 << 10
-	// maxBuffered is the largest body that is read whole before it is passed on.
-	maxBuffered = 1 << 20
-	// maxStale is the number of late answers to earlier requests that are skipped.
-	maxStale = 2
+	// maxBuffered is the largest body that is read whole before it is passed on, so
+	// that bodies without end from hundreds of servers at once fit into memory.
+	maxBuffered = 64 << 10
+	// maxSkipped is the number of interim answers and late answers to earlier
+	// requests that are skipped.
+	maxSkipped = 4
 	// inlineBody is the largest body that is written before the answer is read.
 	inlineBody = 8 << 10
 )
@@ -106,7 +111,8 @@
 // Send sends a request and waits for its answer until the context ends. An
 // error is ErrNotSent or ErrNoAnswer.
 func (c *Courier) Send(ctx context.Context, target Target, req *Request) (*Answer, error) {
-	conn, err := c.connect(ctx, target, req.Fresh)
+	id := req.Header.Get(c.cfg.IDHeader)
+	conn, err := c.connect(ctx, target, req.Fresh, id != "")
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -124,7 +130,8 @@
 		answer.Stream = &streamedBody{Reader: answer.Stream, close: func() { stop(); _ = conn.Close() }}
 		return answer, nil
 	}
-	if !stop() || !reusable {
+	if !stop() || !reusable || id == "" {
+		// A second answer to a request without an ID could not be told from others.
 		_ = conn.Close()
 	} else {
 		c.pool.put(target, conn, c.cfg.Clock.Now())
@@ -132,10 +139,13 @@
 	return answer, nil
 }
 
-func (c *Courier) connect(ctx context.Context, target Target, fresh bool) (*connection, error) {
-	if conn := c.pool.get(target, fresh, c.cfg.Clock.Now()); conn != nil {
-		conn.written = 0
-		return conn, nil
+// connect returns an idle connection if the request may use one, or a new one.
+func (c *Courier) connect(ctx context.Context, target Target, fresh, mayReuse bool) (*connection, error) {
+	if mayReuse {
+		if conn := c.pool.get(target, fresh, c.cfg.Clock.Now()); conn != nil {
+			conn.written, conn.reused = 0, true
+			return conn, nil
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -180,11 +190,12 @@
 	}
 }
 
-// readAnswer reads answers until one belongs to the request.
+// readAnswer reads answers until one belongs to the request. On a connection that
+// has carried another request only the ID tells whose answer it is.
 func (c *Courier) readAnswer(conn *connection, req *Request) (*Answer, bool, error) {
 	id := req.Header.Get(c.cfg.IDHeader)
 	hr := &http.Request{Method: req.Method}
-	for stale := 0; ; {
+	for range maxSkipped {
 		resp, err := readHeader(conn, hr)
 		if err != nil {
 			return nil, false, err
@@ -192,17 +203,27 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if echo := resp.Header.Get(c.cfg.IDHeader); id != "" && echo != "" && echo != id {
-			if stale++; stale > maxStale {
-				return nil, false, fmt.Errorf("%d answers to other requests", stale)
-			}
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered)); err != nil {
-				return nil, false, err
-			}
-			continue
+		echo := resp.Header.Get(c.cfg.IDHeader)
+		if id == "" || echo == id || (echo == "" && !conn.reused) {
+			return readBody(conn, resp)
+		}
+		if echo == "" {
+			return nil, false, fmt.Errorf("%w: it names no request", ErrForeignAnswer)
 		}
-		return readBody(conn, resp)
+		if err := skipBody(resp); err != nil {
+			return nil, false, err
+		}
+	}
+	return nil, false, fmt.Errorf("%w: %d in a row", ErrForeignAnswer, maxSkipped)
+}
+
+// skipBody reads a body of moderate size to its end.
+func skipBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered+1))
+	if err == nil && n > maxBuffered {
+		return fmt.Errorf("%w: its body is longer than %d bytes", ErrForeignAnswer, maxBuffered)
 	}
+	return err
 }
 
 func readHeader(conn *connection, hr *http.Request) (*http.Response, error) {
--- a/pkg/courier/courier_test.go
+++ b/pkg/courier/courier_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -115,6 +116,145 @@
 	}
 }
 
+// Answers without an ID and longer late answers came to the next caller of the connection.
+func TestUnidentifiedAnswer(t *testing.T) {
+	const unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+	long := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", 64<<10) +
+		strings.Repeat("x", 1<<20-64<<10) + unnamed
+	for name, late := range map[string]string{"without an ID": unnamed, "with a long body": long} {
+		t.Run(name, func(t *testing.T) {
+			withServer(t, func(c net.Conn, r *http.Request, _ int) {
+				if id := r.Header.Get("Request-Id"); id == "1" {
+					_, _ = io.WriteString(c, answer("1", "one"))
+				} else {
+					_, _ = io.WriteString(c, late+answer(id, "two"))
+				}
+			}, func(c *Courier, target Target, _ *atomic.Int32) {
+				a, err := send(t, c, target, request("1"))
+				assertBody(t, "first request", a, err, "one")
+				if a, err = send(t, c, target, request("2")); !errors.Is(err, ErrNoAnswer) {
+					t.Errorf("second request: answer %v and error %v, want ErrNoAnswer", a, err)
+				}
+			})
+		})
+	}
+}
+
+// A second answer to a request was taken for that to a health check, which names
+// no request, and the answer to the check came to the next caller of the connection.
+func TestHealthCheckKeepsNoConnection(t *testing.T) {
+	withServer(t, func(c net.Conn, r *http.Request, _ int) {
+		switch id := r.Header.Get("Request-Id"); id {
+		case "1":
+			_, _ = io.WriteString(c, answer("1", "one"))
+		case "":
+			_, _ = io.WriteString(c, answer("1", "again"))
+		default:
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nhealthy"+answer(id, "two"))
+		}
+	}, func(c *Courier, target Target, _ *atomic.Int32) {
+		a, err := send(t, c, target, request("1"))
+		assertBody(t, "first request", a, err, "one")
+		check := request("")
+		check.Header = http.Header{}
+		if _, err := send(t, c, target, check); err != nil {
+			t.Fatal(err)
+		}
+		if a, err = send(t, c, target, request("2")); err == nil && string(a.Body) != "two" {
+			t.Errorf("second request: body %q, want \"two\" or no answer", a.Body)
+		}
+	})
+}
+
+// endless are the ways in which a server in trouble sends bytes until the caller closes.
+var endless = map[string]struct{ begin, more string }{
+	"status line":     {"HTTP/1.1 200 ", "x"},
+	"header line":     {"HTTP/1.1 200 OK\r\nX: ", "x"},
+	"headers":         {"HTTP/1.1 200 OK\r\n", "X: 1\r\n"},
+	"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"late answers":    {"", answer("0", "late")},
+	"late body":       {"HTTP/1.1 200 OK\r\nRequest-Id: 0\r\n\r\n", "x"},
+	"chunk extension": {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"empty chunks":    {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 200) + "\r\nx\r\n"},
+	"trailers":        {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: 1\r\n"},
+}
+
+// Bytes without end that are no answer must neither hold a request nor fill memory.
+func TestEndlessHead(t *testing.T) {
+	for name, e := range endless {
+		t.Run(name, func(t *testing.T) {
+			withServer(t, func(c net.Conn, _ *http.Request, _ int) {
+				_, err := io.WriteString(c, e.begin)
+				for block := strings.Repeat(e.more, 1+4096/len(e.more)); err == nil; {
+					_, err = io.WriteString(c, block)
+				}
+			}, func(c *Courier, target Target, _ *atomic.Int32) {
+				if a, err := send(t, c, target, request("1")); !errors.Is(err, ErrNoAnswer) {
+					t.Errorf("answer %v and error %v, want ErrNoAnswer", a, err)
+				}
+				if n := len(idleConns(c, target)); n != 0 {
+					t.Errorf("%d idle connections, want none", n)
+				}
+			})
+		})
+	}
+}
+
+// Answers without end from 200 servers at once must fit into the memory of a small
+// host beside all else: 32 MB, an eighth of 256 MB.
+func TestEndlessBodies(t *testing.T) {
+	const servers, limit = 200, 32 << 20
+	for name, head := range map[string]string{
+		"without a length": "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n",
+		"with a length":    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 1048576\r\n\r\n",
+		"in chunks":        "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			block := strings.Repeat("x", 4096)
+			if name == "in chunks" {
+				block = "1000\r\n" + block + "\r\n"
+			}
+			c := New(Config{IDHeader: "Request-Id", Clock: clock.New(), Dial: func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					_, _ = http.ReadRequest(bufio.NewReader(far))
+					_, err := io.WriteString(far, head)
+					for err == nil {
+						_, err = io.WriteString(far, block)
+					}
+				}()
+				return near, nil
+			}})
+			before := liveBytes()
+			var answers []*Answer
+			for range servers {
+				a, err := send(t, c, Target{ID: "s1", Address: "x"}, request("1"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if a.Stream == nil {
+					t.Fatalf("a whole answer of %d bytes", len(a.Body))
+				}
+				answers = append(answers, a)
+			}
+			if used := liveBytes() - before; used > limit {
+				t.Errorf("%d answers take %d kB, want at most %d", servers, used>>10, limit>>10)
+			}
+			for _, a := range answers {
+				_ = a.Stream.Close()
+			}
+		})
+	}
+}
+
+// liveBytes is the memory in use after a collection.
+func liveBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // An answer that breaks off must not look complete.
 func TestTruncatedAnswer(t *testing.T) {
 	for name, text := range map[string]string{
--- a/pkg/courier/pool.go
+++ b/pkg/courier/pool.go
@@ -44,7 +44,9 @@
 	// written is the number of bytes of the current request that may have left.
 	written int64
 	// budget is the number of bytes that may still be read, or below 0 for no bound.
-	budget    int
+	budget int
+	// reused says that the connection has carried another request.
+	reused    bool
 	idleLimit clock.Millis
 	idleSince clock.Millis
 }
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -121,6 +121,8 @@
 	tried  []string
 	sent   int
 	unsent int
+	// mayHaveRun says that a server may have run the request without giving its answer.
+	mayHaveRun bool
 	// choice is the last decision on placement.
 	choice balancer.Choice
 	// known says that the chosen server is known to hold the object.
@@ -306,7 +308,7 @@
 			if last != nil {
 				return last, nil
 			}
-			return nil, ref
+			return nil, x.truthful(ref)
 		}
 		began := s.cfg.Clock.Now()
 		answer, err := s.cfg.Send(ctx, courier.Target{ID: x.choice.Server.ID, Address: x.choice.Server.Address}, s.outgoing(x))
@@ -318,6 +320,7 @@
 		} else {
 			x.unsent++
 		}
+		x.mayHaveRun = x.mayHaveRun || ran(res, err)
 		switch {
 		case res == balancer.Answered:
 			return answer, nil
@@ -335,11 +338,25 @@
 			if last != nil {
 				return last, nil
 			}
-			return nil, ref
+			return nil, x.truthful(ref)
 		}
 	}
 }
 
+// ran reports whether an attempt without a usable answer may have run.
+func ran(res balancer.Result, err error) bool {
+	return res == balancer.Failed || (err != nil && !errors.Is(err, courier.ErrNotSent))
+}
+
+// truthful replaces a refusal that promises that the request has not run, when an
+// earlier attempt may have run it.
+func (x *exchange) truthful(ref *refusal) *refusal {
+	if !x.mayHaveRun || ref.status == http.StatusGatewayTimeout {
+		return ref
+	}
+	return &refusal{http.StatusBadGateway, "no_answer", 0}
+}
+
 // done tells placement how the exchange with the chosen server ended.
 func (s *Steerer) done(x *exchange, res balancer.Result, took clock.Millis) {
 	x.placed = false
@@ -407,13 +424,9 @@
 
 // mayTryAgain returns nil when the request may go to another server.
 func (s *Steerer) mayTryAgain(x *exchange, res balancer.Result, err error) *refusal {
-	ran := res == balancer.Failed || (err != nil && !errors.Is(err, courier.ErrNotSent))
-	if ran && !x.route.MayRepeat() {
-		return &refusal{http.StatusBadGateway, "no_answer", 0}
-	}
 	ref := &refusal{http.StatusServiceUnavailable, "shed", unreadyRetry}
-	if ran {
-		ref = &refusal{http.StatusBadGateway, "no_answer", 0}
+	if ran(res, err) && !x.route.MayRepeat() {
+		return ref
 	}
 	if x.stream != nil && x.sent > 0 {
 		return ref // the body is spent
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -301,6 +301,30 @@
 	})
 }
 
+// The same holds for a request that may be repeated: whichever attempt may have
+// run it, and whatever ends the next one, the caller isn't told that it has not run.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	for name, second := range map[string]func(f *fixture) (*courier.Answer, error){
+		"placement refuses": func(f *fixture) (*courier.Answer, error) { f.full = true; return nil, courier.ErrNoAnswer },
+		"server sheds":      func(*fixture) (*courier.Answer, error) { return failed(503, "Not-Executed"), nil },
+		"not sent":          func(*fixture) (*courier.Answer, error) { return nil, courier.ErrNotSent },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withSteerer(t, func(f *fixture) {
+				f.reply = func(n int) (*courier.Answer, error) {
+					if n == 0 && name != "placement refuses" {
+						return nil, courier.ErrNoAnswer
+					}
+					return second(f)
+				}
+				if w := call(f, http.MethodGet, "/look/1", nil); w.Code != http.StatusBadGateway {
+					t.Errorf("status %d for a request that may have run, want 502", w.Code)
+				}
+			})
+		})
+	}
+}
+
 // A caller that waits no longer gets its answer at the route's limit, as 504.
 func TestTimeLimit(t *testing.T) {
 	withSteerer(t, func(f *fixture) {
