Report only the workspaces that had requests since the receiver's last report

Cause: each report named every workspace, of which few change between two reports; on large fleets bytes between zones and regions are the dearest price.

--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/relayer"
 	"catkindyke/pkg/schema"
 )
@@ -45,36 +46,27 @@
 // demandUnit is the number of requests a second that a demand of 1 in a report stands for.
 const demandUnit = 0.01
 
-func encodeUses(demands map[string]float64, admitted map[string]uint64) *schema.WorkspaceUses {
+func encodeUses(uses map[string]rationer.Use) *schema.WorkspaceUses {
 	out := &schema.WorkspaceUses{}
-	add := func(name string) {
+	for name, use := range uses {
 		out.WorkspaceHashes = append(out.WorkspaceHashes, xxhash.Sum64String(name))
-		out.Demands = append(out.Demands, uint32(math.Round(demands[name]/demandUnit)))
-		out.Admitted = append(out.Admitted, admitted[name])
-	}
-	for name := range admitted {
-		add(name)
-	}
-	for name := range demands {
-		if _, ok := admitted[name]; !ok {
-			add(name)
-		}
+		out.Demands = append(out.Demands, uint32(math.Round(use.Demand/demandUnit)))
+		out.Admitted = append(out.Admitted, use.Admitted)
 	}
 	return out
 }
 
 // decodeUses leaves out workspaces that the configuration in force here lacks.
-func decodeUses(uses *schema.WorkspaceUses, names dictionary) (demands map[string]float64, admitted map[string]uint64) {
-	demands, admitted = make(map[string]float64), make(map[string]uint64)
+func decodeUses(uses *schema.WorkspaceUses, names dictionary) map[string]rationer.Use {
+	out := make(map[string]rationer.Use, len(uses.GetWorkspaceHashes()))
 	for i, hash := range uses.GetWorkspaceHashes() {
 		name, ok := names[hash]
 		if !ok || i >= len(uses.GetDemands()) || i >= len(uses.GetAdmitted()) {
 			continue
 		}
-		demands[name] = float64(uses.GetDemands()[i]) * demandUnit
-		admitted[name] = uses.GetAdmitted()[i]
+		out[name] = rationer.Use{Demand: float64(uses.GetDemands()[i]) * demandUnit, Admitted: uses.GetAdmitted()[i]}
 	}
-	return demands, admitted
+	return out
 }
 
 func encodeRevisions(list []relayer.Revision) []*schema.Revision {
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -40,6 +40,9 @@
 	pause float64
 	// revisions tell what the host knew of the store.
 	revisions []relayer.Revision
+	// taken is the sequence of its last report of which everything was taken, and
+	// acked that of this host's last report that it has taken itself.
+	taken, acked uint64
 }
 
 // lives reports whether the host was heard lately.
@@ -49,9 +52,11 @@
 
 // fleet holds the other hosts by name.
 type fleet struct {
-	cfg     Config
-	mu      sync.Mutex
-	members map[string]*member
+	cfg Config
+	// incarnation is this host's.
+	incarnation uint64
+	mu          sync.Mutex
+	members     map[string]*member
 	// announced are the peer addresses in the store by name.
 	announced map[string]string
 	// sent are the times of this host's last reports by sequence.
@@ -81,12 +86,40 @@
 	return s.at, sequence > 0 && s.sequence == sequence
 }
 
-// last returns the last report that was received from a host.
+// last returns the last report of a host of which everything was taken.
 func (f *fleet) last(name string) (incarnation, sequence uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil && m.taken > 0 {
+		return m.incarnation, m.taken
+	}
+	return 0, 0
+}
+
+// take notes whether everything of a host's last report was taken. If not, the host
+// must tell everything again.
+func (f *fleet) take(name string, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m := f.members[name]; m != nil {
-		return m.incarnation, m.sequence
+		m.taken = 0
+		if whole {
+			m.taken = m.sequence
+		}
+	}
+}
+
+// base returns this host's last report that another one has taken, and when it was
+// made; 0 when the next report must hold everything.
+func (f *fleet) base(name string) (sequence uint64, at clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	if m == nil || m.acked == 0 {
+		return 0, 0
+	}
+	if s := f.sent[m.acked%sentReports]; s.sequence == m.acked {
+		return m.acked, s.at
 	}
 	return 0, 0
 }
@@ -150,8 +183,8 @@
 	return nil
 }
 
-func newFleet(cfg Config) *fleet {
-	return &fleet{cfg: cfg, members: make(map[string]*member), announced: make(map[string]string)}
+func newFleet(cfg Config, incarnation uint64) *fleet {
+	return &fleet{cfg: cfg, incarnation: incarnation, members: make(map[string]*member), announced: make(map[string]string)}
 }
 
 func (f *fleet) announce(name, address string) (old string) {
@@ -178,7 +211,13 @@
 	if m.peer != r.GetPeerAddress() {
 		moved = m.peer
 	}
-	m.incarnation, m.sequence = r.GetIncarnation(), r.GetSequence()
+	if m.incarnation != r.GetIncarnation() {
+		m.taken = 0
+	}
+	m.incarnation, m.sequence, m.acked = r.GetIncarnation(), r.GetSequence(), 0
+	if r.GetEchoIncarnation() == f.incarnation {
+		m.acked = r.GetEchoSequence()
+	}
 	m.region, m.zone, m.caller, m.peer = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
 	if m.heard > 0 && m.lives(now) {
 		m.pause += pauseWeight * (float64(now-m.heard) - m.pause)
@@ -275,7 +314,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r.Loads = encodeLoads(h.balancer.Loads())
-	r.Uses = encodeUses(h.rationer.Demands(now), h.rationer.Admitted())
+	since := clock.Millis(0)
+	r.UsesAfter, since = h.fleet.base(to)
+	r.Uses = encodeUses(h.rationer.Uses(since, now))
 	for name, rate := range h.balancer.Demands(now) {
 		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
@@ -296,6 +337,8 @@
 
 // receive takes the report of another host.
 func (h *Host) receive(r *schema.HostReport, trip clock.Millis) {
+	h.receiving.Lock()
+	defer h.receiving.Unlock()
 	now := h.cfg.Clock.Now()
 	moved, newer := h.fleet.receive(r, now)
 	if !newer {
@@ -321,8 +364,11 @@
 		// Without workspaces the numbers of admitted requests can't be told apart.
 		return
 	}
-	demands, admitted := decodeUses(r.GetUses(), h.workspaceNames)
-	h.rationer.SetHost(r.GetName(), rationer.Report{
-		Incarnation: r.GetIncarnation(), Demands: demands, Admitted: admitted,
-	}, now)
+	whole := r.GetUsesAfter() == 0 || h.rationer.Knows(r.GetName(), r.GetIncarnation())
+	if whole {
+		h.rationer.SetHost(r.GetName(), rationer.Report{
+			Incarnation: r.GetIncarnation(), Uses: decodeUses(r.GetUses(), h.workspaceNames),
+		}, now)
+	}
+	h.fleet.take(r.GetName(), whole)
 }
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -135,7 +135,9 @@
 	serversKnown, zonesKnown, hostsKnown atomic.Bool
 	started                              clock.Millis
 	fleet                                *fleet
-	relayer                              *relayer.Relayer
+	// receiving makes reports be taken whole, one after the other.
+	receiving sync.Mutex
+	relayer   *relayer.Relayer
 	// relayed are changes that other hosts have told of.
 	relayed chan relayer.Batch
 	courier *courier.Courier
@@ -155,14 +157,15 @@
 	if cfg.WithdrawalLimit > 0 {
 		silent = cfg.WithdrawalLimit + silentMargin
 	}
+	incarnation := uint64(time.Now().UnixNano())
 	h := &Host{
-		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), events: make(chan func(), eventQueue), ctx: ctx,
+		cfg: cfg, incarnation: incarnation, events: make(chan func(), eventQueue), ctx: ctx,
 		balancer: balancer.New(balancer.Config{
 			Region: cfg.Region, ShiftRate: cfg.ShiftRate, ColdSenders: cfg.ColdSenders,
 		}),
 		rationer: rationer.New(rationer.Config{SilentLife: silent, Allowance: allowancePart * cfg.RateSlack}),
 		repeats:  rationer.NewRetries(cfg.Repeats), splits: make(map[string]float64),
-		started: cfg.Clock.Now(), fleet: newFleet(cfg),
+		started: cfg.Clock.Now(), fleet: newFleet(cfg, incarnation),
 		relayer: relayer.New(cfg.Kinds...), relayed: make(chan relayer.Batch, relayQueue),
 		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
 		registrar: registrar.New(), evacuated: make(map[string]bool),
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -12,6 +12,7 @@
 package rationer
 
 import (
+	"maps"
 	"math"
 
 	"catkindyke/pkg/clock"
@@ -71,21 +72,29 @@
 	hosts   map[string]*host
 }
 
+// Use is what a host tells of the requests of a workspace.
+type Use struct {
+	// Demand is its requests a second, admitted or not.
+	Demand float64
+	// Admitted is the number of requests that this incarnation of the host has admitted.
+	Admitted uint64
+}
+
 // Report is what another host tells of its admissions.
 type Report struct {
 	// Incarnation is the start of the host's process.
 	Incarnation uint64
-	// Demands are its requests a second by workspace, admitted or not.
-	Demands map[string]float64
-	// Admitted are the numbers of requests by workspace that this incarnation has admitted.
-	Admitted map[string]uint64
+	// Uses are those of the workspaces that had requests since an earlier report,
+	// or of all workspaces in the first one.
+	Uses map[string]Use
 }
 
 // host is what another host reported.
 type host struct {
-	Report
-	at    clock.Millis
-	heard bool
+	incarnation uint64
+	uses        map[string]Use
+	at          clock.Millis
+	heard       bool
 	// pause is the usual time between reports.
 	pause float64
 }
@@ -96,6 +105,8 @@
 	at     clock.Millis
 	demand float64
 	seen   clock.Millis
+	// asked is the time of the last request.
+	asked clock.Millis
 	// level is the estimated level of the fleet's whole bucket.
 	level float64
 	// admitted counts the requests that this host has admitted.
@@ -144,37 +155,68 @@
 	}
 }
 
+// Knows reports whether all that an incarnation of a host has told is known, so
+// that its next report may leave out what has not changed.
+func (r *Rationer) Knows(name string, incarnation uint64) bool {
+	h := r.hosts[name]
+	return h != nil && h.heard && h.incarnation == incarnation
+}
+
 // SetHost takes the report of another host.
 func (r *Rationer) SetHost(name string, report Report, now clock.Millis) {
-	old := r.hosts[name]
-	for workspace, n := range report.Admitted {
-		b := r.buckets[workspace]
-		if b == nil {
-			continue
-		}
-		before := uint64(0)
-		if old != nil && old.heard && old.Incarnation == report.Incarnation {
-			before = old.Admitted[workspace]
-		} else if old == nil || !old.heard {
-			// What was admitted before the first report is in no known window.
-			before = n
-		}
-		if n > before {
-			r.fill(workspace, b, now)
-			b.level -= float64(n - before)
+	h := r.hosts[name]
+	if h == nil {
+		h = &host{}
+		r.hosts[name] = h
+	}
+	if r.Knows(name, report.Incarnation) {
+		h.decay(now)
+	} else {
+		h.uses = make(map[string]Use, len(report.Uses))
+	}
+	for workspace, use := range report.Uses {
+		if b := r.buckets[workspace]; b != nil {
+			if n := h.admittedSince(workspace, use.Admitted); n > 0 {
+				r.fill(workspace, b, now)
+				b.level -= float64(n)
+			}
 		}
 	}
-	h := &host{Report: report, at: now, heard: true}
-	if old != nil && old.heard {
-		h.pause = old.pause
-		switch pause := float64(now - old.at); {
-		case old.pause == 0:
+	// What was admitted before the first report is in no known window, so that it is
+	// noted after the numbers above.
+	maps.Copy(h.uses, report.Uses)
+	if h.heard {
+		switch pause := float64(now - h.at); {
+		case h.pause == 0:
 			h.pause = pause
-		case old.fresh(now):
-			h.pause += pauseWeight * (pause - old.pause)
+		case h.fresh(now):
+			h.pause += pauseWeight * (pause - h.pause)
 		}
 	}
-	r.hosts[name] = h
+	h.incarnation, h.at, h.heard = report.Incarnation, now, true
+}
+
+// admittedSince is the number of requests of a workspace that the host has
+// admitted since its last report.
+func (h *host) admittedSince(workspace string, admitted uint64) uint64 {
+	if !h.heard {
+		return 0
+	}
+	before := h.uses[workspace].Admitted
+	if admitted < before {
+		// The workspace left the configuration and came back.
+		before = 0
+	}
+	return admitted - before
+}
+
+// decay lowers the demands as the host itself does while no request comes.
+func (h *host) decay(now clock.Millis) {
+	factor := math.Exp(-float64(now-h.at) / float64(demandLife))
+	for workspace, use := range h.uses {
+		use.Demand *= factor
+		h.uses[workspace] = use
+	}
 }
 
 // Expire forgets the hosts that have been silent for longer than SilentLife.
@@ -235,24 +277,18 @@
 	return now-h.at <= silentSlack+clock.Millis(silentRounds*h.pause)
 }
 
-// Admitted returns the numbers of requests that this host has admitted by workspace.
-func (r *Rationer) Admitted() map[string]uint64 {
-	out := make(map[string]uint64, len(r.buckets))
-	for name, b := range r.buckets {
-		if b.admitted > 0 {
-			out[name] = b.admitted
-		}
-	}
-	return out
-}
+// minDemand is the demand below which a workspace without admissions is not told of.
+const minDemand = 0.01
 
-// Demands returns the requests a second by workspace at this host.
-func (r *Rationer) Demands(now clock.Millis) map[string]float64 {
-	out := make(map[string]float64)
+// Uses returns the uses of the workspaces that had requests since a time.
+func (r *Rationer) Uses(since, now clock.Millis) map[string]Use {
+	out := make(map[string]Use)
 	for name, b := range r.buckets {
-		b.decay(now)
-		if b.demand > 0.01 {
-			out[name] = b.demand
+		if b.asked < since {
+			continue
+		}
+		if b.decay(now); b.admitted > 0 || b.demand > minDemand {
+			out[name] = Use{Demand: b.demand, Admitted: b.admitted}
 		}
 	}
 	return out
@@ -261,6 +297,7 @@
 // count adds a request to the demand.
 func (b *bucket) count(now clock.Millis) {
 	b.decay(now)
+	b.asked = now
 	b.demand += 1000 / float64(demandLife)
 }
 
@@ -285,7 +322,7 @@
 	for _, h := range r.hosts {
 		demand := b.demand
 		if h.heard {
-			demand = h.Demands[workspace]
+			demand = h.uses[workspace].Demand
 		}
 		sum += demand
 		if !h.heard || !h.fresh(now) {
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -38,7 +39,7 @@
 // exchange gives every host the reports of the others that reach it.
 func (f *fleet) exchange() {
 	for i, r := range f.hosts {
-		report := Report{Incarnation: 1, Demands: r.Demands(f.now), Admitted: r.Admitted()}
+		report := Report{Incarnation: 1, Uses: r.Uses(0, f.now)}
 		for j, other := range f.hosts {
 			if i != j && f.cut[i] == f.cut[j] {
 				other.SetHost(name(i), report, f.now)
@@ -75,6 +76,41 @@
 	return worst
 }
 
+// Reports that leave out what has not changed lead to the same knowledge as whole
+// ones, whichever of them are lost.
+func TestPartialReports(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		workspaces := []string{"a", "b", "c"}
+		limits := map[string]Limit{"a": {100, 100}, "b": {10, 20}, "c": {1000, 1000}}
+		sender, whole, partial := New(Config{}), New(Config{}), New(Config{})
+		for _, r := range []*Rationer{sender, whole, partial} {
+			r.SetLimits(limits, 0)
+		}
+		now, acked := clock.Millis(1000), clock.Millis(0)
+		for range 40 {
+			now += clock.Millis(rapid.IntRange(1, 900).Draw(rt, "pause"))
+			for range rapid.IntRange(0, 5).Draw(rt, "requests") {
+				sender.Admit(rapid.SampledFrom(workspaces).Draw(rt, "workspace"), now)
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "lost") == 0 {
+				continue
+			}
+			whole.SetHost("s", Report{Incarnation: 1, Uses: sender.Uses(0, now)}, now)
+			partial.SetHost("s", Report{Incarnation: 1, Uses: sender.Uses(acked, now)}, now)
+			acked = now
+			for _, w := range workspaces {
+				a, b := whole.hosts["s"].uses[w], partial.hosts["s"].uses[w]
+				if a.Admitted != b.Admitted || math.Abs(a.Demand-b.Demand) > minDemand {
+					rt.Fatalf("%s: %+v by whole reports, %+v by partial ones", w, a, b)
+				}
+				if a, b := whole.buckets[w].level, partial.buckets[w].level; math.Abs(a-b) > 1e-6*limits[w].Burst {
+					rt.Fatalf("%s: level %v by whole reports, %v by partial ones", w, a, b)
+				}
+			}
+		}
+	})
+}
+
 // The users' bound: rate and burst over all hosts, with a tenth and 20 requests
 // over in any 5 s, however demand moves and hosts are cut off.
 func TestFleetKeepsRate(t *testing.T) {
