Let either host of a pair make the calls, so that proofs spread in both directions

Cause: the host with the lower name made all calls of a pair. The caller learns what the other one knows now, the called host only what the caller knew one pause of reports ago for certain. In a fleet of 95 the hosts of the second and third region thus had proofs older than 2.5 s, and all of them asked the store at the same moment, every 2.5 s.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -1,7 +1,7 @@
 // Package gossiper exchanges reports with the other hosts.
 //
-// Each pair of hosts exchanges over one call, which the host with the lower
-// name makes; the other calls too when it has not heard anything for a while.
+// Each pair of hosts exchanges over one call, which one of them makes; the other
+// calls too when it has not heard anything for a while.
 package gossiper
 
 import (
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"catkindyke/pkg/clock"
@@ -19,7 +20,7 @@
 	// callTimeout is several round trips between regions. A connection that went
 	// silent is closed after it.
 	callTimeout = 500 * time.Millisecond
-	// patience is the shortest time after which a host with the higher name calls too.
+	// patience is the shortest time after which the called host of a pair calls too.
 	patience clock.Millis = 700
 	// patientRounds is the number of pauses that it waits in a large fleet.
 	patientRounds = 3
@@ -156,7 +157,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limit := max(patience, clock.FromDuration(patientRounds*g.interval(p)))
-	return p.name == "" || g.cfg.Name < p.name || g.cfg.Clock.Now()-p.heard > limit
+	return p.name == "" || callsFirst(g.cfg.Name, p.name) || g.cfg.Clock.Now()-p.heard > limit
+}
+
+// callsFirst reports whether the first host of a pair makes the calls. Each host
+// does for about half of the others: the caller learns what the other one knows
+// now, and the other one only what the caller knew one pause ago for certain, so
+// that knowledge would spread from low to high names slowly.
+func callsFirst(name, other string) bool {
+	low, high := min(name, other), max(name, other)
+	return (xxhash.Sum64String(low+"\x00"+high)&1 == 0) == (name == low)
 }
 
 // backoff is the pause after a number of failed calls.
