Tell a host of changes only while it is known what it lacks

Cause: reports carry the changes that the receiver lacked in its last report. In a large fleet that is 0.8 s old, so that each caller of a host sent it the same changes again: about 15 copies of each changed server. TestChangesComeOnceInLargeFleet fails first.

--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -173,14 +173,17 @@
 
 // lacks returns what a host knew of the store, if it hears of changes from this
 // one: hosts of other regions have watchers of their own, while the store
-// answers them.
-func (f *fleet) lacks(name string) []relayer.Revision {
+// answers them. What a host of a large fleet lacked a while ago it has mostly heard
+// by now, and would get once from each neighbor, so that it gets changes only in
+// answers to its own calls.
+func (f *fleet) lacks(name string, now clock.Millis) []relayer.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m := f.members[name]; m != nil && (m.region == f.cfg.Region || m.storeLost) {
-		return m.revisions
+	m := f.members[name]
+	if m == nil || now-m.heard > relayer.BehindTime || (m.region != f.cfg.Region && !m.storeLost) {
+		return nil
 	}
-	return nil
+	return m.revisions
 }
 
 func newFleet(cfg Config, incarnation uint64) *fleet {
@@ -290,7 +293,7 @@
 	return h.fleet.lookup(region, h.Ready(), h.cfg.Clock.Now()), h.cfg.LookupAge
 }
 
-// report is what this host tells the others.
+// report is what this host tells another one.
 func (h *Host) report(to string) *schema.HostReport {
 	now := h.cfg.Clock.Now()
 	r := &schema.HostReport{
@@ -303,7 +306,7 @@
 	h.fleet.sending(r.Sequence, now)
 	r.StoreLost = h.storeLostAt.Load() != 0
 	r.Revisions = encodeRevisions(h.relayer.Revisions())
-	r.Batches = encodeBatches(h.relayer.Missing(h.fleet.lacks(to)))
+	r.Batches = encodeBatches(h.relayer.Missing(h.fleet.lacks(to, now)))
 	if c := h.catalog.Load(); c != nil {
 		r.ConfigVersion = c.Version()
 	}
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -338,6 +338,33 @@
 	})
 }
 
+// In a large fleet a changed server reached each host once from every neighbor:
+// a host was told again what it had lacked a pause of reports ago.
+func TestChangesComeOnceInLargeFleet(t *testing.T) {
+	withHosts(t, []string{"a1", "a2", "a3"}, func(n *network, h map[string]*Host) {
+		for _, host := range h {
+			fill(host, 1)
+			host.Feed().Listed("servers", 10, 10)
+		}
+		exchange(h["a1"], h["a3"])
+		exchange(h["a2"], h["a3"])
+		b := relayer.Batch{Kind: "servers", After: 10, UpTo: 12, Changes: []relayer.Change{{Name: "s1", Revision: 12}}}
+		for _, host := range h {
+			host.Feed().Applied(b) // each has heard of the change, from whomever
+		}
+		n.clock.Advance(800)
+		for _, name := range []string{"a1", "a2"} {
+			if got := len(h[name].report("a3").GetBatches()); got != 0 {
+				t.Errorf("%d batches of %s in a call to a host that was heard 800 ms ago", got, name)
+			}
+		}
+		fresh := n.clock.Clock().Now()
+		if got := h["a1"].fleet.lacks("a3", fresh-500); len(got) == 0 {
+			t.Error("a host that was heard just now gets no changes")
+		}
+	})
+}
+
 // A host that hears others before its first configuration must not take all
 // that they ever admitted for new requests.
 func TestReportsBeforeConfiguration(t *testing.T) {
