Move a region's shares at once after a loss of servers, replay at large size

Change: a region that lost 30 % of its slots moves the requests that need other servers anyway; the replay's model takes a size, and is apart from the cases.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -344,7 +344,7 @@
 		return
 	}
 	for name, p := range b.pools {
-		p.shift(b.demandOf(name, now), b.cfg, elapsed)
+		p.shift(b.demandOf(name, now), b.cfg, elapsed, now)
 	}
 	for _, s := range b.servers {
 		s.recover(elapsed)
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -84,19 +84,56 @@
 	assertSum(t, "overload", target("n", slots, map[string]float64{"n": 1000, "s": 1000, "e": 1000}, 120))
 }
 
+// A region that lost two thirds of its servers kept its requests for as long as the
+// limit on shifts takes, with room elsewhere. Shares of other regions must not fall,
+// because what is held there would move, too.
+func TestSharesAfterLoss(t *testing.T) {
+	withBalancer("s", fleetServers(), func(b *Balancer) {
+		p := b.pools["desk"]
+		p.work = 120
+		p.weights = map[string]float64{"n": 0.05, "s": 0.9, "e": 0.05}
+		demand := map[string]float64{"n": 20, "s": 100, "e": 100}
+		p.shift(demand, b.cfg, 100, 100)
+		if got := p.weights["s"]; got < 0.85 {
+			t.Errorf("own share %v without a loss, want about 0.9", got)
+		}
+		before := p.weights
+		b.SetServers(append(append(servers("n", 2, 4), servers("s", 2, 4)...), servers("e", 10, 4)...))
+		p = b.pools["desk"]
+		p.shift(demand, b.cfg, 100, 200)
+		assertSum(t, "after the loss", p.weights)
+		if got := p.weights["s"]; got > 0.45 {
+			t.Errorf("own share %v after the loss of three quarters of the slots, want at most half of 0.9", got)
+		}
+		for _, region := range []string{"n", "e"} {
+			if p.weights[region] < before[region]-1e-9 {
+				t.Errorf("share of %s fell from %v to %v", region, before[region], p.weights[region])
+			}
+		}
+		moved := p.weights["s"]
+		for now := clock.Millis(200); now <= 200+lossTime; now += 100 {
+			p.shift(demand, b.cfg, 100, now)
+		}
+		p.shift(demand, b.cfg, 100, 300+lossTime)
+		if got := math.Abs(p.weights["s"] - moved); got > 0.05 {
+			t.Errorf("own share moved by %v after the time of the loss, want the usual limit", got)
+		}
+	})
+}
+
 // Shares move no faster than the limit, whatever demand does.
 func TestShiftRate(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		withBalancer("n", fleetServers(), func(b *Balancer) {
 			p := b.pools["desk"]
 			p.work = 120
-			for range 50 {
+			for i := range 50 {
 				old := p.weights
 				demand := map[string]float64{}
 				for _, region := range []string{"n", "s", "e"} {
 					demand[region] = rapid.Float64Range(0, 500).Draw(rt, region)
 				}
-				p.shift(demand, b.cfg, 100)
+				p.shift(demand, b.cfg, 100, clock.Millis(100*i))
 				moved := 0.0
 				for region := range old {
 					moved = math.Max(moved, math.Abs(p.weights[region]-old[region]))
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -92,15 +92,20 @@
 	weights map[string]float64
 	// moving says that the weights move towards their target.
 	moving bool
+	// usualSlots are the slots by region that were there until lately, and lostAt the
+	// times at which regions have lost many of them.
+	usualSlots map[string]float64
+	lostAt     map[string]clock.Millis
 	// work is the mean time that a request takes a slot, in milliseconds.
 	work  float64
 	queue queue
 }
 
 func newPool(old *pool) *pool {
-	p := &pool{slots: make(map[string]float64)}
+	p := &pool{slots: make(map[string]float64), lostAt: make(map[string]clock.Millis)}
 	if old != nil {
 		p.weights, p.work, p.moving, p.queue = old.weights, old.work, old.moving, old.queue
+		p.usualSlots, p.lostAt = old.usualSlots, old.lostAt
 	}
 	return p
 }
--- a/pkg/balancer/replay_known_red_test.go
+++ b/pkg/balancer/replay_known_red_test.go
@@ -17,3 +17,13 @@
 		},
 	}.run(t)
 }
+
+// What the lost servers held is learned where it goes, while reports are a second old.
+func TestReplayLargeRegionLoses(t *testing.T) {
+	replayCase{
+		name: "two thirds of a region's servers leave", size: large, load: largeLoad(1), target: 0.85,
+		change: func(r *replay) {
+			r.leave(burstStart, func(i int, s Server) bool { return s.Region == "e" && i%3 != 0 })
+		},
+	}.run(t)
+}
--- a/pkg/balancer/shares.go
+++ b/pkg/balancer/shares.go
@@ -19,6 +19,13 @@
 	// movingShare is the difference between a share and its target at which it
 	// begins to move, and settledShare the one at which it stops.
 	movingShare, settledShare = 0.15, 0.03
+	// lostPart is the part of a region's slots that is lost when requests move to
+	// other regions at once, and lossTime the time for which they may: all hosts
+	// of the region learn of lost servers in it.
+	lostPart              = 0.3
+	lossTime clock.Millis = 2000
+	// slotMemory is the time in which slots that go one after the other add up.
+	slotMemory = 10 * clock.Second
 	// maxStep is the longest time between steps; after a suspension the shares
 	// stay where they are.
 	maxStep = 5 * clock.Second
@@ -79,6 +86,30 @@
 	return out
 }
 
+// afterLoss computes the shares of a region that has just lost slots: it keeps as
+// much as its slots are of all that are free of the requests of other regions,
+// and the rest goes where room is. Shares of other regions do not fall, so that
+// only requests for objects that must be learned anyway move.
+func afterLoss(own string, weights, slots, demand map[string]float64, work float64) map[string]float64 {
+	room := make(map[string]float64, len(slots))
+	var elsewhere float64
+	for region, n := range slots {
+		if region != own {
+			room[region] = math.Max(0, n*targetUse-demand[region]*work/1000)
+			elsewhere += room[region]
+		}
+	}
+	out := maps.Clone(weights)
+	if elsewhere == 0 {
+		return out
+	}
+	out[own] = math.Min(weights[own], slots[own]/(slots[own]+elsewhere))
+	for region, n := range room {
+		out[region] += (weights[own] - out[own]) * n / elsewhere
+	}
+	return out
+}
+
 // start sets the shares of a pool that has served nothing, as if demand were the
 // same in all regions. Servers announce themselves one after the other, so that
 // the shares follow them until the first answer.
@@ -99,13 +130,39 @@
 	p.weights = target(own, p.slots, equal, total/float64(len(equal))*1000)
 }
 
+// noteSlots notes which regions have lost a part of their slots.
+func (p *pool) noteSlots(elapsed, now clock.Millis) {
+	usual := maps.Clone(p.slots)
+	for region, before := range p.usualSlots {
+		n := p.slots[region]
+		if n < (1-lostPart)*before {
+			p.lostAt[region] = now
+			continue
+		}
+		if n < before {
+			usual[region] = before + (n-before)*math.Min(1, float64(elapsed)/float64(slotMemory))
+		}
+	}
+	p.usualSlots = usual
+	maps.DeleteFunc(p.lostAt, func(_ string, at clock.Millis) bool { return now-at > lossTime })
+}
+
 // shift moves the shares towards their target, at most as fast as the limit on
 // shifts between regions allows.
-func (p *pool) shift(demand map[string]float64, cfg Config, elapsed clock.Millis) {
+//
+// It answers demand that changes, which the limit is for, and servers that are
+// lost. After a loss the servers that are left would be overloaded for as long as
+// the limit takes, while other regions have room, so that the shares move at once.
+// What the lost servers held must be learned, and takes more slots until then.
+func (p *pool) shift(demand map[string]float64, cfg Config, elapsed, now clock.Millis) {
+	p.noteSlots(elapsed, now)
 	if p.work == 0 {
 		return
 	}
 	want := target(cfg.Region, p.slots, demand, p.work)
+	if _, lost := p.lostAt[cfg.Region]; lost {
+		want = afterLoss(cfg.Region, p.weights, p.slots, demand, p.work)
+	}
 	next := make(map[string]float64, len(want))
 	var most float64
 	regions := maps.Clone(p.weights)
@@ -117,12 +174,15 @@
 	}
 	// Hysteresis: each change of a share moves objects to servers that must learn
 	// them, so that small differences are not worth one.
-	if most < settledShare || (!p.moving && most < movingShare) {
+	if most < settledShare || (!p.moving && len(p.lostAt) == 0 && most < movingShare) {
 		p.moving = false
 		return
 	}
 	p.moving = true
-	part := math.Min(1, cfg.ShiftRate*float64(elapsed)/1000/most)
+	part := 1.0
+	if len(p.lostAt) == 0 {
+		part = math.Min(1, cfg.ShiftRate*float64(elapsed)/1000/most)
+	}
 	for region := range regions {
 		if _, ok := p.slots[region]; ok {
 			next[region] = p.weights[region] + part*(want[region]-p.weights[region])
