Move shares after a loss only when too few slots are left

Cause: the last change moved requests of all regions that lost servers, also where the others had room for them.

--- a/pkg/balancer/shares.go
+++ b/pkg/balancer/shares.go
@@ -160,7 +160,8 @@
 		return
 	}
 	want := target(cfg.Region, p.slots, demand, p.work)
-	if _, lost := p.lostAt[cfg.Region]; lost {
+	_, lost := p.lostAt[cfg.Region]
+	if lost = lost && want[cfg.Region] < p.weights[cfg.Region]-settledShare; lost {
 		want = afterLoss(cfg.Region, p.weights, p.slots, demand, p.work)
 	}
 	next := make(map[string]float64, len(want))
@@ -174,13 +175,13 @@
 	}
 	// Hysteresis: each change of a share moves objects to servers that must learn
 	// them, so that small differences are not worth one.
-	if most < settledShare || (!p.moving && len(p.lostAt) == 0 && most < movingShare) {
+	if most < settledShare || (!p.moving && !lost && most < movingShare) {
 		p.moving = false
 		return
 	}
 	p.moving = true
 	part := 1.0
-	if len(p.lostAt) == 0 {
+	if !lost {
 		part = math.Min(1, cfg.ShiftRate*float64(elapsed)/1000/most)
 	}
 	for region := range regions {
