Let few hosts of a region ask the store when its watchers lose it

Now four do, and more as these lose it. The first host of each region also asks somewhat earlier than the others. TestChecksWhenWatchersLoseStore fails first (623 checks in 10 s, want at most 100); TestAllAskWhenStoreIsAway keeps that all notice an outage in 3 s.

--- a/pkg/hoster/checks_test.go
+++ b/pkg/hoster/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -111,3 +112,49 @@
 		})
 	}
 }
+
+// When the hosts of a region that watch the store lose it, a few others ask for the
+// rest: all 30 of them asked twice a second, because any might have lost it, too.
+// The target is two questions a second of each of soonAskers hosts, and those of
+// the first host of the fleet.
+func TestChecksWhenWatchersLoseStore(t *testing.T) {
+	withFleet(t, 95, func(hosts []*Host) {
+		countChecks(hosts, 5*time.Second)
+		lost := 0
+		for _, h := range hosts {
+			if h.cfg.Region == "rb" && lost < watchersPerRegion {
+				h.Feed().Lost(errors.New("store is away"))
+				lost++
+			}
+		}
+		time.Sleep(time.Second)
+		asking := make([]*Host, 0, len(hosts))
+		for _, h := range hosts {
+			if h.storeLostAt.Load() == 0 {
+				asking = append(asking, h)
+			}
+		}
+		if got, most := countChecks(asking, 10*time.Second), 10*(2*soonAskers+2); got > most {
+			t.Errorf("%d checks in 10 s, want at most %d", got, most)
+		}
+	})
+}
+
+// When the store is away from all, each host must ask and notice it soon.
+func TestAllAskWhenStoreIsAway(t *testing.T) {
+	withFleet(t, 30, func(hosts []*Host) {
+		countChecks(hosts, 5*time.Second)
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, h := range hosts {
+				if len(h.checksDue()) > 0 {
+					h.Feed().Lost(errors.New("store is away"))
+				}
+			}
+		}
+		for _, h := range hosts {
+			if h.storeLostAt.Load() == 0 {
+				t.Errorf("%s has not asked the store for 3 s", h.cfg.Name)
+			}
+		}
+	})
+}
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -133,7 +133,7 @@
 func (h *Host) checksDue() []string {
 	now := h.cfg.Clock.Now()
 	limit := proofAge + clock.Millis(min(h.fleet.rank(now), maxProofRank))*proofStep
-	if h.fleet.watchersLost(now) {
+	if h.fleet.asksSoon(now) {
 		limit = lostProofAge
 	}
 	if now-clock.Millis(h.contact.Load()) >= limit {
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -28,6 +28,9 @@
 	// watchersPerRegion is the number of hosts of a region that watch the store.
 	// One that fails leaves another while its failure is noticed.
 	watchersPerRegion = 2
+	// soonAskers is the number of hosts of a region that ask the store soon when those
+	// that watch it have lost it; further ones do when these have lost it, too.
+	soonAskers = 4
 )
 
 // member is what is known of another host.
@@ -124,17 +127,12 @@
 	return 0, 0
 }
 
-// rank is the number of live hosts that come before this one by name.
+// rank is the order in which hosts ask the store: the first live host by name, the
+// first and second ones of each region, and all others. Those of a region do not
+// lack a proof all at once when the first ones of their region ask before.
 func (f *fleet) rank(now clock.Millis) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, m := range f.members {
-		if m.lives(now) && !m.leaving && m.name < f.cfg.Name {
-			n++
-		}
-	}
-	return n
+	hosts := f.hosts(now)
+	return min(hosts.FleetPosition, 1+hosts.Position)
 }
 
 // watchersBefore is the number of live hosts of the own region that can watch the
@@ -151,20 +149,28 @@
 	return n
 }
 
-// watchersLost reports whether the hosts that come first in the own region by
-// name, and would watch the store, say that it does not answer them.
-func (f *fleet) watchersLost(now clock.Millis) bool {
+// asksSoon reports whether the hosts that come first in the own region by name, and
+// would watch the store, say that it does not answer them, and few of the next ones
+// before this host can ask it.
+func (f *fleet) asksSoon(now clock.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var before []*member
+	able := 0
 	for _, m := range f.members {
 		if m.isNeighbor(f.cfg, now) && m.name < f.cfg.Name {
 			before = append(before, m)
+			if !m.storeLost {
+				able++
+			}
 		}
 	}
+	if len(before) == 0 || able >= soonAskers {
+		return false
+	}
 	slices.SortFunc(before, func(a, b *member) int { return strings.Compare(a.name, b.name) })
 	before = before[:min(len(before), watchersPerRegion)]
-	return len(before) > 0 && !slices.ContainsFunc(before, func(m *member) bool { return !m.storeLost })
+	return !slices.ContainsFunc(before, func(m *member) bool { return !m.storeLost })
 }
 
 func (m *member) isNeighbor(cfg Config, now clock.Millis) bool {
