--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -49,6 +49,10 @@
 	// memoryShare is the part of the memory limit that the Go runtime may use;
 	// buffers of the kernel take the rest.
 	memoryShare = 0.7
+	// heapGrowth is the part of the live heap, in percent, by which it grows between
+	// collections. Hosts have little memory, and their heap is of a few megabytes, so
+	// that collections are cheap.
+	heapGrowth = 40
 	// hostHeaderTimeout and hostIdleTimeout bound callers before a configuration
 	// says more, and the platform's own calls.
 	hostHeaderTimeout = 5 * time.Second
@@ -83,6 +87,7 @@
 	if err != nil {
 		return usageError("%v", err)
 	}
+	debug.SetGCPercent(heapGrowth)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -20,8 +20,9 @@
 
 const (
 	// reportLife is the age after which the load that another host reported is
-	// dropped: a host reports several times a second while it lives.
-	reportLife = 2 * clock.Second
+	// dropped: while it lives, a host of another region reports about each 2 s in a
+	// fleet of 100.
+	reportLife = 3 * clock.Second
 	// defaultRegionTrip is the round trip between regions before one was measured, in ms.
 	defaultRegionTrip = 40.0
 	// localTrip is the round trip within a region, in ms.
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -27,7 +27,7 @@
 	// nearBudget and farBudget are the exchanges a second that a host takes part in
 	// with hosts of its region and of others. Both together take about 1 % of a
 	// core; in a fleet in which the pauses would need more, they grow with it.
-	nearBudget, farBudget = 40, 50
+	nearBudget, farBudget = 40, 36
 	// maxBackoff is the longest pause between calls to a host that does not answer.
 	maxBackoff = 2 * time.Second
 )
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -127,12 +127,12 @@
 	return 0, 0
 }
 
-// rank is the order in which hosts ask the store: the first live host by name, the
-// first and second ones of each region, and all others. Those of a region do not
-// lack a proof all at once when the first ones of their region ask before.
+// rank is the order in which hosts ask the store: the first live hosts by name, the
+// first one of each region, and all others. Those of a region do not lack a proof
+// all at once when the first one of their region asks before.
 func (f *fleet) rank(now clock.Millis) int {
 	hosts := f.hosts(now)
-	return min(hosts.FleetPosition, 1+hosts.Position)
+	return min(hosts.FleetPosition, maxProofRank-1+hosts.Position)
 }
 
 // watchersBefore is the number of live hosts of the own region that can watch the
