Vary the pauses between exchanges of reports

Cause: hosts that start together exchanged with all others at the same moments, so that news took a whole pause for each step, and 30 exchanges at once held up requests on hosts with 0.16 of a core.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -28,6 +29,10 @@
 	// with hosts of its region and of others. Both together take about 1 % of a
 	// core; in a fleet in which the pauses would need more, they grow with it.
 	nearBudget, farBudget = 40, 36
+	// pauseSpread is the part by which pauses vary. Hosts that start together would
+	// exchange with all others at the same moments, so that news took a whole pause
+	// for each step and the exchanges held up requests.
+	pauseSpread = 0.3
 	// maxBackoff is the longest pause between calls to a host that does not answer.
 	maxBackoff = 2 * time.Second
 )
@@ -49,6 +54,8 @@
 	Receive func(report *schema.HostReport, trip clock.Millis)
 	// Dial returns a client of the host at a peer address.
 	Dial func(ctx context.Context, address string) schema.DRPCFleetClient
+	// Random returns numbers from 0 up to 1; those of math/rand when nil.
+	Random func() float64
 	// Clock measures silence.
 	Clock clock.Clock
 	// Log receives a line for each host that is lost or found.
@@ -75,6 +82,9 @@
 
 // New returns a gossiper that runs until the context ends.
 func New(ctx context.Context, cfg Config) *Gossiper {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Gossiper{cfg: cfg, ctx: ctx, peers: make(map[string]*peer)}
 }
 
@@ -169,11 +179,12 @@
 	return (xxhash.Sum64String(low+"\x00"+high)&1 == 0) == (name == low)
 }
 
-// backoff is the pause after a number of failed calls.
+// backoff is the pause after a number of failed calls; it varies.
 func (g *Gossiper) backoff(p *peer, failures int) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return min(g.interval(p)<<min(failures, 5), maxBackoff)
+	pause := min(g.interval(p)<<min(failures, 5), maxBackoff)
+	return time.Duration(float64(pause) * (1 + pauseSpread*(2*g.cfg.Random()-1)))
 }
 
 // interval is the pause between exchanges with a peer; the caller holds the lock.
