Publish the changed servers of a batch together

Cause: each changed server was published by itself: all servers, their hashes and the reports of all hosts again.

--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -35,7 +35,8 @@
 	// Informed reports whether the host learns of changes, from the store or from
 	// other hosts.
 	Informed func() bool
-	// Servers takes the list of backend servers, Server and ServerGone one change of it.
+	// Servers takes the list of backend servers, Server and ServerGone one change of
+	// it, which is in force when its batch was handed over.
 	Servers    func(list []registrar.Server)
 	Server     func(s registrar.Server)
 	ServerGone func(id string)
@@ -54,7 +55,7 @@
 		// What is known of the configuration was handed over before.
 		Contact: h.advanceContact,
 		Listed:  h.relayer.Listed,
-		Applied: func(b relayer.Batch) { h.relayer.Applied(b, h.cfg.Clock.Now()) },
+		Applied: func(b relayer.Batch) { h.do(h.publishChanges); h.relayer.Applied(b, h.cfg.Clock.Now()) },
 		Relayed: h.relayed, Watches: h.watches, ChecksDue: h.checksDue,
 		Lost:     func(err error) { h.do(func() { h.noteStoreLost(err) }) },
 		Regained: func() { h.do(h.noteStoreRegained) },
@@ -66,10 +67,10 @@
 			})
 		},
 		Server: func(s registrar.Server) {
-			h.do(func() { h.registrar.Put(s, h.cfg.Clock.Now()); h.logServer(s); h.publishServers() })
+			h.do(func() { h.registrar.Put(s, h.cfg.Clock.Now()); h.logServer(s); h.serversChanged = true })
 		},
 		ServerGone: func(id string) {
-			h.do(func() { h.registrar.Remove(id, h.cfg.Clock.Now()); h.logGone(id); h.publishServers() })
+			h.do(func() { h.registrar.Remove(id, h.cfg.Clock.Now()); h.logGone(id); h.serversChanged = true })
 		},
 		Informed:    h.informed,
 		Evacuations: func(zones []string) { h.do(func() { h.setEvacuations(zones) }) },
@@ -214,8 +215,17 @@
 	return 0
 }
 
+// publishChanges publishes the servers if there were changes. All of a batch are
+// published once, because each time takes as long as there are servers and reports.
+func (h *Host) publishChanges() {
+	if h.serversChanged {
+		h.publishServers()
+	}
+}
+
 // publishServers gives the balancer the servers that may get requests.
 func (h *Host) publishServers() {
+	h.serversChanged = false
 	var list []balancer.Server
 	names := make(dictionary)
 	c := h.catalog.Load()
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -149,6 +149,8 @@
 	evacuated  map[string]bool
 	probing    map[string]bool
 	ticksSwept int
+	// serversChanged says that changes of servers were not published yet.
+	serversChanged bool
 }
 
 // New assembles a host. It runs until the context ends.
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -219,6 +219,7 @@
 		s := server("s1", "za")
 		s.Draining = true
 		a.Feed().Server(s)
+		a.Feed().Applied(relayer.Batch{Kind: "servers", UpTo: 2})
 		if got := chosenZones(a); !slices.Equal(got, []string{balancer.ReasonNoServer}) {
 			t.Errorf("choices %v, want none", got)
 		}
