--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -215,17 +215,19 @@
 	return 0
 }
 
-// publishChanges publishes the servers if there were changes. All of a batch are
-// published once, because each time takes as long as there are servers and reports.
+// publishChanges publishes the servers if there were changes, at once or at the next
+// round of housekeeping. Each time takes as long as there are servers and reports,
+// and hundreds of servers may change in a second.
 func (h *Host) publishChanges() {
-	if h.serversChanged {
+	if h.serversChanged && h.cfg.Clock.Now()-h.publishedAt >= publishPause {
 		h.publishServers()
 	}
 }
 
 // publishServers gives the balancer the servers that may get requests.
 func (h *Host) publishServers() {
-	h.serversChanged = false
+	h.serversChanged, h.publishedAt = false, h.cfg.Clock.Now()
+	h.cfg.Meter.Add("servers_published", 1)
 	var list []balancer.Server
 	names := make(dictionary)
 	c := h.catalog.Load()
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -63,6 +63,9 @@
 	allowancePart = 0.4
 	// tickInterval is the pause between rounds of housekeeping.
 	tickInterval = 100 * time.Millisecond
+	// publishPause is the shortest time between two changes of the servers that
+	// placement uses. A server that leaves must be out of use within seconds.
+	publishPause clock.Millis = 90
 	// sweepTicks is the number of rounds between sweeps of idle connections.
 	sweepTicks = 20
 	// eventQueue bounds the changes that wait for the control goroutine.
@@ -149,8 +152,10 @@
 	evacuated  map[string]bool
 	probing    map[string]bool
 	ticksSwept int
-	// serversChanged says that changes of servers were not published yet.
+	// serversChanged says that changes of servers were not published yet, and
+	// publishedAt is the time at which some were last.
 	serversChanged bool
+	publishedAt    clock.Millis
 }
 
 // New assembles a host. It runs until the context ends.
@@ -244,9 +249,8 @@
 	if !h.informed() {
 		h.registrar.Lost(clock.Millis(h.contact.Load()))
 	}
-	if h.registrar.Expire(now) {
-		h.publishServers()
-	}
+	h.serversChanged = h.registrar.Expire(now) || h.serversChanged
+	h.publishChanges()
 	h.mu.Lock()
 	h.balancer.Step(now)
 	h.balancer.SetHosts(h.fleet.hosts(now))
