Test that a planned stop serves what was accepted before it

Another operator's hosts cut off requests that had just been accepted. The test passes on the present code and fails when the listener's connections are closed at the stop instead of after it. What it can't show: connections that the kernel has completed and the host has not accepted when the listener closes are reset.

--- /dev/null
+++ b/cmd/catkindyke/commander/host_stop_test.go
@@ -0,0 +1,78 @@
+package commander
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"catkindyke/platform"
+	"catkindyke/platform/emulator"
+)
+
+// openRequest connects to a host and sends the first part of a request, which may be empty.
+func openRequest(t *testing.T, address, part string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(hostTime)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprint(c, part); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A planned stop cut off requests of other operators that had just been accepted:
+// connections without a byte yet, with half a header, with half a body, and kept
+// ones that were idle when the stop began.
+func TestStopServesAcceptedRequests(t *testing.T) {
+	h := platform.Headers()
+	head := fmt.Sprintf("POST /x/1 HTTP/1.1\r\nHost: a.example\r\n%s: k1\r\n%s: r1\r\nContent-Length: 4\r\n\r\n", h.Key, h.RequestID)
+	whole := head + "body"
+	withHost(t, func(_ *emulator.Store, settings platform.Settings, stop func()) {
+		expectStatus(t, "before the stop", "http://"+settings.CallerAddress+"/x/1", "k1", http.StatusOK)
+		type caller struct {
+			step, rest string
+			conn       net.Conn
+		}
+		var callers []caller
+		for range 10 {
+			for step, sent := range map[string]int{"no byte yet": 0, "half a header": len(head) / 2, "half a body": len(whole) - 2} {
+				callers = append(callers, caller{step, whole[sent:], openRequest(t, settings.CallerAddress, whole[:sent])})
+			}
+			kept := openRequest(t, settings.CallerAddress, whole)
+			readAnswer(t, "kept connection", kept)
+			callers = append(callers, caller{"kept connection", whole, kept})
+		}
+		stop()
+		for _, c := range callers {
+			if _, err := fmt.Fprint(c.conn, c.rest); err != nil {
+				t.Errorf("%s: %v", c.step, err)
+			}
+		}
+		for _, c := range callers {
+			readAnswer(t, c.step, c.conn)
+			_ = c.conn.Close()
+		}
+	})
+}
+
+// readAnswer reads one whole answer and checks that it is a success.
+func readAnswer(t *testing.T, step string, c net.Conn) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Errorf("%s: %v", step, err)
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("%s: status %d, want 200", step, resp.StatusCode)
+	}
+}
--- a/cmd/catkindyke/commander/host_test.go
+++ b/cmd/catkindyke/commander/host_test.go
@@ -53,8 +53,9 @@
 "Kind":"idempotent","TimeoutMs":5000,"TargetLatencyMs":1000,"Service":"desk","Attempts":2}]}]}`, version, keys)
 }
 
-// withHost runs the host command against a stand-in of the platform's store.
-func withHost(t *testing.T, test func(store *emulator.Store, settings platform.Settings)) {
+// withHost runs the host command against a stand-in of the platform's store; stop
+// begins its planned stop.
+func withHost(t *testing.T, test func(store *emulator.Store, settings platform.Settings, stop func())) {
 	t.Helper()
 	store := emulator.New(100)
 	storeServer := httptest.NewServer(store)
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- runHost(ctx, settings, zerolog.Nop()) }()
-	test(store, settings)
+	test(store, settings, cancel)
 	cancel()
 	select {
 	case err := <-done:
@@ -125,7 +126,7 @@
 
 // The whole path from look-up to answer, with the store's own forms.
 func TestHostServes(t *testing.T) {
-	withHost(t, func(store *emulator.Store, settings platform.Settings) {
+	withHost(t, func(store *emulator.Store, settings platform.Settings, _ func()) {
 		caller := "http://" + settings.CallerAddress
 		expectStatus(t, "readiness", "http://"+settings.ReadinessAddress+"/readiness", "", http.StatusOK)
 		answer := expectStatus(t, "look-up", "http://"+settings.LookupAddress+"/resolve?Name=a.example&Region=r1&Zone=z1", "", http.StatusOK)
