--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -218,6 +218,21 @@
 	return s.readBody(x)
 }
 
+// checkKey decides again whether the key is valid: the host may have been suspended
+// since, or the body or an earlier attempt may have taken seconds.
+func (s *Steerer) checkKey(x *exchange) *refusal {
+	if x.workspace == nil {
+		return nil
+	}
+	if !s.cfg.Current() {
+		return &refusal{http.StatusServiceUnavailable, "stale_configuration", unreadyRetry}
+	}
+	if c := s.cfg.Catalog(); c != x.catalog && c.Workspace(x.r.Header.Get(s.cfg.Headers.Key)) == nil {
+		return &refusal{http.StatusUnauthorized, "unknown_key", 0}
+	}
+	return nil
+}
+
 // readDeadline sets the time limit from the caller's header and the route.
 func (x *exchange) readDeadline(name string) bool {
 	x.limit = x.route.Timeout
@@ -369,6 +384,9 @@
 	if left < minSend {
 		return &refusal{http.StatusGatewayTimeout, "timeout", 0}
 	}
+	if ref := s.checkKey(x); ref != nil {
+		return ref
+	}
 	x.choice, x.known = s.cfg.Choose(balancer.Request{
 		Service: x.service, Class: x.route.Name, Object: x.object(s.cfg.Headers.Object),
 		Homes: cataloger.Homes(x.route, x.workspace), Tried: x.tried,
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -163,6 +163,53 @@
 	}
 }
 
+// pausingBody is a body during which the host is suspended.
+type pausingBody struct {
+	io.Reader
+	pause func()
+}
+
+func (b pausingBody) Read(p []byte) (int, error) {
+	b.pause()
+	return b.Reader.Read(p)
+}
+
+// A host that is suspended between the check of a key and the sending must not act
+// on what it knew before, whether it knows the newest configuration after it or not.
+func TestKeyIsCheckedBeforeSending(t *testing.T) {
+	withdrawn, err := cataloger.New(cataloger.Config{
+		Version: 2, Services: []cataloger.Service{{Name: "desk"}}, Workspaces: []cataloger.Workspace{{Name: "lakes", Keys: []string{"k2"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		pause  func(f *fixture)
+		status int
+	}{
+		"not current afterwards":  {func(f *fixture) { f.current = false }, http.StatusServiceUnavailable},
+		"key withdrawn meanwhile": {func(f *fixture) { f.steerer.cfg.Catalog = func() *cataloger.Catalog { return withdrawn } }, http.StatusUnauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withSteerer(t, func(f *fixture) {
+				w := call(f, http.MethodPost, "/book/1", func(r *http.Request) {
+					r.Body = io.NopCloser(pausingBody{strings.NewReader(""), func() { c.pause(f) }})
+				})
+				assertAnswer(t, name, w, c.status, 0, f)
+			})
+		})
+	}
+	t.Run("between two attempts", func(t *testing.T) {
+		withSteerer(t, func(f *fixture) {
+			f.reply = func(int) (*courier.Answer, error) {
+				f.current = false
+				return failed(503, "Not-Executed"), nil
+			}
+			assertAnswer(t, "second attempt", call(f, http.MethodGet, "/look/1", nil), http.StatusServiceUnavailable, 1, f)
+		})
+	})
+}
+
 // A host that can't know the newest configuration still serves open routes.
 func TestStaleServesOpenRoutes(t *testing.T) {
 	withSteerer(t, func(f *fixture) {
