--- a/pkg/balancer/replay_known_red_test.go
+++ b/pkg/balancer/replay_known_red_test.go
@@ -27,3 +27,22 @@
 		},
 	}.run(t)
 }
+
+// At the size of a large fleet, where reports are a second old.
+func TestReplayLargeFleetRed(t *testing.T) {
+	for _, c := range []replayCase{
+		{"more than all slots, callers return when told", large, largeLoad(5), func(r *replay) { r.retries = 2 }, 0.85},
+		{"a fifth of the servers leaves at the peak", large, largeLoad(1.7), func(r *replay) {
+			r.leave(burstStart, func(i int, _ Server) bool { return i%5 == 0 })
+		}, 0.85},
+		{"a third of the servers is slow", large, largeLoad(1), func(r *replay) {
+			r.change(burstStart, func(i int, _ Server, s *replayServer) {
+				if i%3 == 0 {
+					s.slow = 5
+				}
+			})
+		}, 0.85},
+	} {
+		t.Run(c.name, c.run)
+	}
+}
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -191,6 +191,28 @@
 	for _, c := range []replayCase{
 		{"calm day", large, largeLoad(1), func(*replay) {}, 0.95},
 		{"peak of all regions", large, largeLoad(1.7), func(*replay) {}, 0.85},
+		{"all servers shed for 2 s", large, largeLoad(1), func(r *replay) {
+			r.retries = 2
+			r.change(burstStart, func(_ int, _ Server, s *replayServer) { s.sheds = true })
+			r.change(burstStart+2000, func(_ int, _ Server, s *replayServer) { s.sheds = false })
+		}, 0.85},
+		{"a region's servers forget their objects", large, largeLoad(1), func(r *replay) {
+			r.change(burstStart, func(_ int, info Server, s *replayServer) {
+				if info.Region == "s" {
+					s.held = nil
+				}
+			})
+		}, 0.85},
+		{"callers move to another region", large, func(region string, now clock.Millis) float64 {
+			switch {
+			case now < burstStart || region == "n":
+				return large.calm
+			case region == "e":
+				return 0.4 * large.calm
+			default:
+				return 1.6 * large.calm
+			}
+		}, func(*replay) {}, 0.85},
 	} {
 		t.Run(c.name, c.run)
 	}
