relayer: keep the range of revisions that a deletion can have

Cause: the store gives a deletion the revision of the object's last change, so a host records it with the end of its batch. The next host got a longer batch and recorded a later end. A batch of that host which was cut before this end claimed to be complete without the deletion, and a server that had left was in use again.

Ruled out: trusting the revision in the change (the object may have been written again in the same batch), and a cut at the highest revision of the changes sent.

Change: a deletion has a lowest and a highest possible revision. A host that lacks the highest gets it, and a batch that is cut ends before the lowest of all that is left out.

--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -80,9 +80,11 @@
 
 type recentChange struct {
 	Change
-	// maxRevision is the highest revision that the change can have.
-	maxRevision uint64
-	appliedAt   clock.Millis
+	// minRevision and maxRevision are the lowest and the highest revision that the
+	// change can have. They differ for deletions, to which the store gives the revision
+	// of the object's last change.
+	minRevision, maxRevision uint64
+	appliedAt                clock.Millis
 }
 
 // New returns a relayer for the given kinds of objects.
@@ -117,17 +119,22 @@
 		return
 	}
 	for _, c := range b.Changes {
-		maxRevision := cmp.Or(c.Revision, b.UpTo)
-		if c.Deleted {
-			// The store may give a deletion the revision of the object's last change.
-			// Without content, all deletions of one store response fit into a report.
-			maxRevision, c.Content = b.UpTo, nil
+		recent := recentChange{Change: c, minRevision: c.Revision, maxRevision: c.Revision, appliedAt: now}
+		if c.Deleted || c.Revision == 0 {
+			recent.minRevision, recent.maxRevision = b.After+1, b.UpTo
 		}
-		if maxRevision <= k.upTo {
+		if recent.maxRevision <= k.upTo {
 			continue
 		}
-		k.recentChanges[c.Name] = recentChange{Change: c, maxRevision: maxRevision, appliedAt: now}
-		k.lastChange = max(k.lastChange, maxRevision)
+		if c.Deleted {
+			// Without content, all deletions of one store response fit into a report.
+			recent.Content = nil
+			if old, ok := k.recentChanges[c.Name]; ok && old.Deleted {
+				recent.minRevision = min(recent.minRevision, old.minRevision)
+			}
+		}
+		k.recentChanges[c.Name] = recent
+		k.lastChange = max(k.lastChange, recent.maxRevision)
 	}
 	k.upTo = b.UpTo
 	k.expireChanges(now)
@@ -214,7 +221,8 @@
 }
 
 // batchAfter returns the oldest changes after a revision that fit into bytesLeft,
-// and reduces bytesLeft by their size.
+// and reduces bytesLeft by their size. A batch that is cut ends before the lowest
+// revision that any of the changes left out can have.
 func (k *kindState) batchAfter(rev Revision, bytesLeft *int) Batch {
 	var changes []recentChange
 	for _, c := range k.recentChanges {
@@ -222,24 +230,30 @@
 			changes = append(changes, c)
 		}
 	}
-	slices.SortFunc(changes, func(a, b recentChange) int { return cmp.Compare(a.maxRevision, b.maxRevision) })
+	slices.SortFunc(changes, func(a, b recentChange) int { return cmp.Compare(a.minRevision, b.minRevision) })
 	out := Batch{Kind: rev.Kind, After: rev.UpTo, UpTo: k.upTo}
-	for i, c := range changes {
+	for _, c := range changes {
 		size := len(c.Content) + changeOverheadBytes
 		if size > *bytesLeft {
-			// Changes of the same revision must not be split.
-			for i > 0 && changes[i-1].maxRevision == c.maxRevision {
-				i--
-			}
-			out.Changes = out.Changes[:i]
-			out.UpTo = rev.UpTo
-			if i > 0 {
-				out.UpTo = changes[i-1].maxRevision
-			}
-			break
+			return out.cutBefore(c.minRevision, changes)
 		}
 		*bytesLeft -= size
 		out.Changes = append(out.Changes, c.Change)
 	}
 	return out
 }
+
+// cutBefore returns the batch without the changes that can have the given revision
+// or a later one only. sorted holds all changes of the batch, in order. The batch is
+// empty if it would not be complete beyond its start.
+func (b Batch) cutBefore(revision uint64, sorted []recentChange) Batch {
+	b.UpTo = revision - 1
+	if b.UpTo <= b.After {
+		b.UpTo, b.Changes = b.After, nil
+		return b
+	}
+	for len(b.Changes) > 0 && sorted[len(b.Changes)-1].minRevision >= revision {
+		b.Changes = b.Changes[:len(b.Changes)-1]
+	}
+	return b
+}
--- a/pkg/relayer/relayer_test.go
+++ b/pkg/relayer/relayer_test.go
@@ -186,3 +186,37 @@
 		}
 	})
 }
+
+// relay passes the changes that one host has and the other lacks, and returns the
+// receiver's revisions.
+func relay(from, to *Relayer, now clock.Millis) []Revision {
+	for _, b := range from.MissingBatches(to.Revisions()) {
+		to.RecordBatch(b, now)
+	}
+	return to.Revisions()
+}
+
+// A deletion that was relayed must not count as a later one, before which a batch to the
+// next host could end.
+func TestRelayedDeletionInCutBatch(t *testing.T) {
+	first, second, third := New("servers"), New("servers"), New("servers")
+	for _, r := range []*Relayer{first, second, third} {
+		r.RecordList("servers", 7, 10)
+	}
+	change := func(name string, rev uint64) {
+		first.RecordBatch(batch(rev-1, rev, Change{Name: name, Revision: rev, Content: make([]byte, maxBatchBytes/4)}), 1000)
+	}
+	change("b", 11)
+	change("c", 12)
+	relay(first, second, 1100)
+	first.RecordBatch(batch(12, 13, Change{Name: "a", Revision: 5, Deleted: true}), 1000)
+	change("d", 14)
+	change("e", 15)
+	relay(first, second, 1200)
+	got := second.MissingBatches(third.Revisions())
+	assertNames(t, "second host", got, "b", "c", "a", "d")
+	if rev := relay(second, third, 1300)[0]; rev.UpTo != 14 {
+		t.Errorf("third host is complete up to %d, want 14", rev.UpTo)
+	}
+	assertNames(t, "first host to the third", first.MissingBatches(third.Revisions()), "e")
+}
