hoster: read the confirmation before the version that it confirms

Cause: a report was built from the configuration's version and then the age of its confirmation. A newer configuration in between paired the old version with the new age, so that another host accepted a revoked key for too long.

Change: the confirmation is read first; a version that comes in between excludes receivers and confirms nothing.

--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -319,14 +319,7 @@
 	r.StoreLost = h.storeLostAt.Load() != 0
 	r.Revisions = encodeRevisions(h.relayer.Revisions())
 	r.Batches = encodeBatches(h.relayer.MissingBatches(h.fleet.relayRevisions(receiver, now)))
-	if c := h.catalog.Load(); c != nil {
-		r.ConfigVersion = c.Version()
-	}
-	// The age is read after the version: a newer version only makes the confirmation
-	// stricter.
-	if asOf := clock.Millis(h.configConfirmedAt.Load()); asOf >= 0 {
-		r.ConfigAgeMs = uint64(max(0, now-asOf)) + 1
-	}
+	r.ConfigVersion, r.ConfigAgeMs = h.reportedConfig(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r.Loads = encodeInFlight(h.balancer.InFlight())
@@ -339,6 +332,21 @@
 	return r
 }
 
+// reportedConfig returns the version of the configuration for a report, and one more
+// than the age of its confirmation in ms, or 0 if there is none.
+func (h *Host) reportedConfig(now clock.Millis) (version, ageMs uint64) {
+	// The version is read after the confirmation. A version that comes in between only
+	// excludes more receivers; the reverse order could confirm a replaced version.
+	asOf := clock.Millis(h.configConfirmedAt.Load())
+	if c := h.catalog.Load(); c != nil {
+		version = c.Version()
+	}
+	if asOf >= 0 {
+		ageMs = uint64(max(0, now-asOf)) + 1
+	}
+	return version, ageMs
+}
+
 // configConfirmation returns a time at which, by the report of another host, this
 // host knew the newest configuration. The report is no older than the report of this
 // host that it echoes, however long it was in transit.
--- a/pkg/hoster/report_test.go
+++ b/pkg/hoster/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"catkindyke/pkg/cataloger"
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/schema"
 )
 
@@ -64,3 +66,40 @@
 		}
 	})
 }
+
+// A report that is built while a new configuration arrives must not confirm the old one
+// with the age of the new one: another host would then accept a revoked key for too long.
+func TestReportPairsVersionAndConfirmation(t *testing.T) {
+	const versions = 20000
+	withHosts(t, []string{"a1"}, func(_ *testNetwork, h map[string]*Host) {
+		a := h["a1"]
+		catalogs := make([]*cataloger.Catalog, versions)
+		for i := range catalogs {
+			c, err := cataloger.New(cataloger.Config{Version: uint64(i)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			catalogs[i] = c
+		}
+		a.catalog.Store(catalogs[0])
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i, c := range catalogs {
+				a.catalog.Store(c)
+				a.confirmConfig(clock.Millis(i)) // version i is the newest one at time i
+			}
+		}()
+		for running := true; running; {
+			select {
+			case <-done:
+				running = false
+			default:
+			}
+			version, ageMs := a.reportedConfig(versions)
+			if asOf := versions - (ageMs - 1); ageMs > 0 && asOf > version {
+				t.Fatalf("version %d is confirmed as of time %d, at which version %d was the newest", version, asOf, asOf)
+			}
+		}
+	})
+}
