rationer: take shares of silent hosts from before a partition

Cause: a silent host is noticed some 0.5 s after its last report.

Change: each host keeps the lowest share of the time in which silence is detected, and falls back to it. At the beginning of the partition all shares added up to 1, and the lowest values are no higher. Demand decays before a share is computed.

--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -39,9 +39,9 @@
 	// silent: it may be partitioned and grow its own share for the same reason.
 	silentIntervals              = 3
 	silentTolerance clock.Millis = 150
-	// settleInterval is longer than a small fleet takes to detect a silent host.
-	// Until then, shares may have grown on both sides of a partition.
-	settleInterval clock.Millis = 500
+	// minShareHistory is the shortest time for which the lowest share is kept. In a small
+	// fleet, a silent host is detected within it.
+	minShareHistory clock.Millis = 500
 	// intervalWeight is the weight of a new sample in the average report interval.
 	intervalWeight = 0.2
 	// minRetryAfter and maxRetryAfter bound the delay advised to refused callers.
@@ -114,11 +114,9 @@
 	fleetLevel float64
 	// admitted is the number of requests that this host has admitted.
 	admitted uint64
-	// share is this host's share at the last refill. settledShare is an earlier share
-	// that applied before any host that is silent now fell silent, and settledAt the
-	// time at which it was copied from share.
-	share, settledShare float64
-	settledAt           clock.Millis
+	// share is this host's share at the last refill, and history its lowest values.
+	share   float64
+	history shareHistory
 	// fleetAdmissions is the number of admissions beyond this host's share since
 	// fleetWindowStart.
 	fleetWindowStart clock.Millis
@@ -135,7 +133,8 @@
 	for name, limit := range limits {
 		b := r.buckets[name]
 		if b == nil {
-			b = &bucket{refilledAt: now, decayedAt: now, share: 1 / float64(len(r.hosts)+1), settledShare: 1 / float64(len(r.hosts)+1)}
+			share := 1 / float64(len(r.hosts)+1)
+			b = &bucket{refilledAt: now, decayedAt: now, share: share, history: shareHistory{previous: share, current: share, startedAt: now}}
 			b.tokens = initialTokenShare * limit.Burst * b.share
 			b.fleetLevel = initialTokenShare * limit.Burst
 			r.buckets[name] = b
@@ -278,8 +277,11 @@
 
 // isReporting reports whether the host is not silent, that is, its next report is not
 // overdue.
-func (h *host) isReporting(now clock.Millis) bool {
-	return now-h.reportedAt <= silentTolerance+clock.Millis(silentIntervals*h.reportInterval)
+func (h *host) isReporting(now clock.Millis) bool { return now-h.reportedAt <= h.silenceLimit() }
+
+// silenceLimit returns the time after its last report at which the host counts as silent.
+func (h *host) silenceLimit() clock.Millis {
+	return silentTolerance + clock.Millis(silentIntervals*h.reportInterval)
 }
 
 // minReportedDemand is the demand below which a workspace without admissions is left out of reports.
@@ -319,11 +321,15 @@
 	// partitioned and still use its share; the hosts on this side of the partition
 	// fill and spend only the rest of the fleet's bucket.
 	reporting float64
+	// detectionTime is the longest time after its last report at which a host that falls
+	// silent is detected.
+	detectionTime clock.Millis
 }
 
 func (r *Rationer) demandShares(workspace string, b *bucket, now clock.Millis) demandShares {
 	hostCount, silentCount := float64(len(r.hosts)+1), 0.0
 	totalDemand, silentDemand := b.demand, 0.0
+	out := demandShares{detectionTime: minShareHistory}
 	for _, h := range r.hosts {
 		demand := b.demand
 		if h.reported {
@@ -334,26 +340,47 @@
 			silentDemand += demand
 			silentCount++
 		}
+		out.detectionTime = max(out.detectionTime, h.silenceLimit())
 	}
 	if totalDemand <= 0 {
-		return demandShares{local: 1 / hostCount, reporting: 1 - silentCount/hostCount}
+		out.local, out.reporting = 1/hostCount, 1-silentCount/hostCount
+		return out
 	}
 	shareOf := func(n, demand float64) float64 { return equalShare*n/hostCount + (1-equalShare)*demand/totalDemand }
-	return demandShares{local: shareOf(1, b.demand), reporting: 1 - shareOf(silentCount, silentDemand)}
+	out.local, out.reporting = shareOf(1, b.demand), 1-shareOf(silentCount, silentDemand)
+	return out
+}
+
+// shareHistory holds the lowest share since startedAt, and in the period before.
+type shareHistory struct {
+	previous, current float64
+	startedAt         clock.Millis
+}
+
+// lowest returns the lowest share of both periods.
+func (s *shareHistory) lowest() float64 { return math.Min(s.previous, s.current) }
+
+// startPeriod starts a new period with the share that applied until now.
+func (s *shareHistory) startPeriod(share float64, now clock.Millis) {
+	s.previous, s.current, s.startedAt = s.current, share, now
 }
 
 // updateShare sets and returns this host's share of a workspace's rate, from 0 to 1.
-// While a host is silent, the share does not grow, except up to the part of
-// equalShare that every host has.
+//
+// While a host is silent, the share does not grow, except up to the part of equalShare
+// that every host has. On both sides of a partition, shares may have grown until it was
+// detected. They fall back to the lowest values of the time before, which are no higher
+// than when the partition began, when the shares of all hosts added up to 1.
 func (r *Rationer) updateShare(b *bucket, shares demandShares, now clock.Millis) float64 {
 	share := shares.local
 	if shares.reporting < 1 {
-		share = math.Min(share, math.Min(b.share, b.settledShare))
+		share = math.Min(share, math.Min(b.share, b.history.lowest()))
 		share = math.Max(share, equalShare/float64(len(r.hosts)+1))
-	} else if now-b.settledAt >= settleInterval {
-		b.settledShare, b.settledAt = b.share, now
+	} else if now-b.history.startedAt >= shares.detectionTime {
+		b.history.startPeriod(b.share, now)
 	}
 	b.share = share
+	b.history.current = math.Min(b.history.current, share)
 	return share
 }
 
@@ -365,6 +392,7 @@
 // refill adds the tokens since the last refill and returns the share of the rate
 // that is not reserved for silent hosts.
 func (r *Rationer) refill(workspace string, b *bucket, now clock.Millis) (reportingShare float64) {
+	b.decayDemand(now)
 	shares := r.demandShares(workspace, b, now)
 	share := r.updateShare(b, shares, now)
 	if now > b.refilledAt {
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -307,3 +307,32 @@
 		t.Errorf("%d of %d requests below the rate were refused, want at most 5 %%", refused, requested)
 	}
 }
+
+// Shares that grow on both sides of a partition until it is detected fall back, so that
+// both sides together keep the rate, whenever the partition begins.
+func TestSharesGrownBeforeDetection(t *testing.T) {
+	for steps := 20; steps < 26; steps++ {
+		t.Run(fmt.Sprint(steps, " steps before the partition"), func(t *testing.T) {
+			limit := Limit{Rate: 200, Burst: 186}
+			f := newFleet(2, limit)
+			offer := func(host, n int) {
+				f.now += 100
+				f.exchange()
+				f.offer(host, n)
+			}
+			for range steps {
+				offer(1, 5)
+			}
+			f.isolated[0] = true
+			for range 5 { // until the silence of the other host is detected
+				offer(0, 60)
+			}
+			for step := range 55 {
+				offer(step%2, 40)
+			}
+			if excess := f.maxExcess(limit, 5000); excess > 0.1*(5*200+186)+20 {
+				t.Errorf("%.0f requests above rate and burst, want at most 138", excess)
+			}
+		})
+	}
+}
