balancer: hosts of a region share which servers are warm for an object

Cause: each host knew only from its own requests which servers are warm, and took the first-ranked server for warm in any case.

Change: hosts of a region announce to each other which server gets an object. An object stays with the servers that are warm for it. A new one goes to the first-ranked server with at most 1.25 times its fair number of objects, and servers with less than half of it attract those that they rank first for. While a queue stays, requests no longer go to servers that must warm up.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -132,6 +132,9 @@
 	demands   map[string]*rate
 	liveHosts LiveHosts
 	lastTick  clock.Millis
+	// announcements are the placements to announce, in order of time.
+	announcements []announcement
+	purgedAt      clock.Millis
 	// hashCounter is the input of the next pseudo-random hash, for the ranking of requests
 	// without an object and for the jitter of RetryAfter.
 	hashCounter uint64
@@ -259,10 +262,7 @@
 	c := b.classFor(req)
 	seed := b.rankingSeed(req)
 	ranked := p.rankServers(seed, req.AllowedRegions)
-	best, reason := b.bestCandidate(ranked[:min(preferredServers, len(ranked))], req, seed, c, now)
-	if best == nil || best.estimatedLatency > float64(req.TargetLatency) {
-		best, reason = b.bestCandidate(ranked, req, seed, c, now)
-	}
+	best, reason := b.bestServer(p, ranked, req, seed, c, now)
 	if best == nil {
 		return Choice{Refused: true, Reason: reason, RetryAfter: clampRetryAfter(c.warmServiceTime)}
 	}
@@ -274,6 +274,25 @@
 	return choice
 }
 
+// bestServer returns the server for a request, or nil and the reason for a refusal.
+func (b *Balancer) bestServer(p *pool, ranked []*server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
+	preferred, home := ranked[:min(preferredServers, len(ranked))], (*server)(nil)
+	if req.Object != "" {
+		preferred, home = p.preferredFor(ranked, seed, now)
+		if s := p.underused(ranked, preferred, now); home == nil && s != nil {
+			best, _ := b.bestCandidate([]*server{s}, nil, req, seed, c, now)
+			if best != nil && best.estimatedLatency <= timeLeftFactor*float64(req.TimeLeft) {
+				return best, ""
+			}
+		}
+	}
+	best, reason := b.bestCandidate(preferred, home, req, seed, c, now)
+	if best == nil || (best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)) {
+		return b.bestCandidate(ranked, home, req, seed, c, now)
+	}
+	return best, reason
+}
+
 // rankingSeed returns the hash by which the servers are ranked for a request. It differs
 // for each request without an object, which spreads them over the servers.
 func (b *Balancer) rankingSeed(req Request) uint64 {
@@ -285,12 +304,12 @@
 }
 
 // bestCandidate returns the server with the lowest estimated latency, with a bias for
-// the top-ranked one, or nil and the reason for a refusal.
-func (b *Balancer) bestCandidate(ranked []*server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
+// home, or nil and the reason for a refusal.
+func (b *Balancer) bestCandidate(ranked []*server, home *server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
 	var best *candidate
 	var bestCost float64
 	reason := ReasonNoServer
-	for i, s := range ranked {
+	for _, s := range ranked {
 		if slices.Contains(req.AttemptedServers, s.ID) || s.isUnavailable(now) {
 			continue
 		}
@@ -298,9 +317,9 @@
 			reason = ReasonCold
 			continue
 		}
-		cand := b.estimateLatency(s, i == 0 || req.Object == "" || s.hasRecentObject(seed, now), c)
+		cand := b.estimateLatency(s, s == home || req.Object == "" || s.hasRecentObject(seed, now), c)
 		cost := cand.estimatedLatency
-		if i == 0 {
+		if s == home {
 			cost *= affinityFactor
 		}
 		if best == nil || cost < bestCost {
@@ -354,6 +373,7 @@
 	for _, s := range b.servers {
 		s.recover(elapsed)
 	}
+	b.purgePlacements(now)
 }
 
 // CountRequest adds a request to the demand for a service.
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -195,9 +195,14 @@
 func (r *replay) exchangeReports() {
 	for i, h := range r.hosts {
 		report := LoadReport{Region: h.region, InFlight: h.balancer.InFlight(), Demands: h.balancer.Demands(r.now)}
+		placements := h.balancer.PlacementsSince(r.now - r.size.reportInterval)
 		for j, other := range r.hosts {
-			if i != j {
-				other.balancer.SetLoadReport(hostName(i), report, r.now)
+			if i == j {
+				continue
+			}
+			other.balancer.SetLoadReport(hostName(i), report, r.now)
+			if h.region == other.region {
+				other.balancer.ApplyPlacements(placements, r.now)
 			}
 		}
 	}
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -215,6 +215,12 @@
 				return 1.6 * large.baseRate
 			}
 		}, func(*replay) {}, 0.85},
+		{"a fifth of the servers leaves at peak load", large, largeLoad(1.7), func(r *replay) {
+			r.removeServers(burstStart, func(i int, _ Server) bool { return i%5 == 0 })
+		}, 0.85},
+		{"two thirds of a region's servers leave", large, largeLoad(1), func(r *replay) {
+			r.removeServers(burstStart, func(i int, s Server) bool { return s.Region == "e" && i%3 != 0 })
+		}, 0.85},
 	} {
 		t.Run(c.name, c.run)
 	}
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -26,10 +26,6 @@
 	coldBurst = 1.0
 	// coldRateMargin keeps the fleet's requests to a cold server below its rate.
 	coldRateMargin = 0.8
-	// recentObjectTTL is the time for which a server is assumed to be warm for an object
-	// that it handled, and maxRecentObjects the number of objects tracked per server.
-	recentObjectTTL  = 15 * clock.Second
-	maxRecentObjects = 512
 	// silenceFactor is the multiple of the estimated latency after which a server that has
 	// not answered gets a health check.
 	silenceFactor = 2
@@ -51,15 +47,14 @@
 	slowdown     float64
 	coldTokens   float64
 	coldTokensAt clock.Millis
-	// recentObjects maps the hash of each object to the time at which this host last sent
-	// a request for it.
-	recentObjects map[uint64]clock.Millis
+	// recentObjects maps the hash of each object that the server is warm for to its use.
+	recentObjects map[uint64]objectUse
 	cachedHash    uint64
 	score         float64
 }
 
 func newServer() *server {
-	return &server{slowdown: 1, coldTokens: coldBurst, recentObjects: make(map[uint64]clock.Millis)}
+	return &server{slowdown: 1, coldTokens: coldBurst, recentObjects: make(map[uint64]objectUse)}
 }
 
 func (s *server) hash() uint64 {
@@ -75,28 +70,6 @@
 
 func (s *server) isCold(now clock.Millis) bool { return now < s.ColdUntil }
 
-// hasRecentObject reports whether this host sent a request for the object to the server
-// within recentObjectTTL.
-func (s *server) hasRecentObject(object uint64, now clock.Millis) bool {
-	at, ok := s.recentObjects[object]
-	return ok && now-at <= recentObjectTTL
-}
-
-func (s *server) addRecentObject(object uint64, now clock.Millis) {
-	s.recentObjects[object] = now
-	if len(s.recentObjects) <= maxRecentObjects {
-		return
-	}
-	for o, at := range s.recentObjects {
-		if now-at > recentObjectTTL {
-			delete(s.recentObjects, o)
-		}
-	}
-	if len(s.recentObjects) > maxRecentObjects {
-		clear(s.recentObjects)
-	}
-}
-
 // recover moves the slowdown towards 1, so that a slow server is tried again.
 func (s *server) recover(elapsed clock.Millis) {
 	s.slowdown += (1 - s.slowdown) * math.Min(1, float64(elapsed)/float64(slowdownRecovery))
@@ -167,7 +140,7 @@
 	}
 	object := objectHash(req)
 	knownWarm = s.hasRecentObject(object, now)
-	s.addRecentObject(object, now)
+	b.useObject(s, object, now)
 	return knownWarm
 }
 
--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/relayer"
 	"catkindyke/pkg/schema"
@@ -43,6 +44,29 @@
 	return out
 }
 
+func encodePlacements(list []balancer.Placement) *schema.Placements {
+	if len(list) == 0 {
+		return nil
+	}
+	out := &schema.Placements{}
+	for _, p := range list {
+		out.ObjectHashes = append(out.ObjectHashes, p.Object)
+		out.ServerHashes = append(out.ServerHashes, xxhash.Sum64String(p.Server))
+	}
+	return out
+}
+
+// decodePlacements skips servers that are unknown here.
+func decodePlacements(placements *schema.Placements, names namesByHash) []balancer.Placement {
+	var out []balancer.Placement
+	for i, hash := range placements.GetServerHashes() {
+		if id, ok := names[hash]; ok && i < len(placements.GetObjectHashes()) {
+			out = append(out, balancer.Placement{Object: placements.GetObjectHashes()[i], Server: id})
+		}
+	}
+	return out
+}
+
 // demandUnit is the number of requests per second that a demand of 1 in a report
 // stands for.
 const demandUnit = 0.01
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -33,6 +33,9 @@
 	// early when the watching hosts have lost it. Further hosts do when these have
 	// lost it, too.
 	earlyPollersPerRegion = 4
+	// placementSenders is the number of hosts per region that send all placements to a
+	// host that has started, so that it gets them if one of them fails.
+	placementSenders = 2
 )
 
 // member is the state of another host, as it last reported it.
@@ -183,6 +186,14 @@
 	return m.region == cfg.Region && !m.leaving && m.isLive(now)
 }
 
+// isInRegion reports whether another host has reported that it is in this host's region.
+func (f *fleet) isInRegion(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	return m != nil && m.region == f.cfg.Region
+}
+
 // relayRevisions returns the store revisions that a host knew, if this host relays
 // changes to it: hosts of other regions have their own watchers unless they have
 // lost the store. An outdated report is not used: in a large fleet the host has
@@ -326,12 +337,29 @@
 	since := clock.Millis(0)
 	r.UsesAfter, since = h.fleet.baseReport(receiver)
 	r.Uses = encodeUsage(h.rationer.UsageSince(since, now))
+	r.Placements = encodePlacements(h.placementsFor(receiver, since, now))
 	for name, rate := range h.balancer.Demands(now) {
 		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
 	return r
 }
 
+// placementsFor returns the placements for a report to another host, whose last applied
+// report of this host is from since. Hosts of other regions place objects by themselves.
+// A host without a report gets all placements, from two hosts of its region.
+func (h *Host) placementsFor(receiver string, since, now clock.Millis) []balancer.Placement {
+	switch {
+	case !h.fleet.isInRegion(receiver):
+		return nil
+	case since > 0:
+		return h.balancer.PlacementsSince(since)
+	case h.fleet.liveHosts(now).RegionIndex < placementSenders:
+		return h.balancer.Placements(now)
+	default:
+		return nil
+	}
+}
+
 // reportedConfig returns the version of the configuration for a report, and one more
 // than the age of its confirmation in ms, or 0 if there is none.
 func (h *Host) reportedConfig(now clock.Millis) (version, ageMs uint64) {
@@ -382,6 +410,7 @@
 	h.balancer.SetLoadReport(r.GetName(), balancer.LoadReport{
 		Region: r.GetRegion(), InFlight: decodeInFlight(r.GetLoads(), h.serverNames), Demands: decodeRates(r.GetServiceDemands()),
 	}, now)
+	h.balancer.ApplyPlacements(decodePlacements(r.GetPlacements(), h.serverNames), now)
 	if rtt > 0 {
 		h.balancer.RecordRTT(r.GetRegion(), float64(rtt))
 	}
