balancer: learn whether new objects find a warm server

Cause: the server that an object without a known placement goes to was taken for warm.

Change: the expected service time for such an object is weighted by the observed fraction of those that found a cold server. It is learned anew by each host, since after a restart of all hosts the servers are warm.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -91,6 +91,9 @@
 	// EstimatedLatency the time in which its response was expected.
 	InFlight         int
 	EstimatedLatency clock.Millis
+	// newObject means that the object had no known placement, and that the server is the one
+	// that it should go to.
+	newObject bool
 }
 
 // Config configures a Balancer.
@@ -262,11 +265,11 @@
 	c := b.classFor(req)
 	seed := b.rankingSeed(req)
 	ranked := p.rankServers(seed, req.AllowedRegions)
-	best, reason := b.bestServer(p, ranked, req, seed, c, now)
+	best, home, reason := b.bestServer(p, ranked, req, seed, c, now)
 	if best == nil {
 		return Choice{Refused: true, Reason: reason, RetryAfter: clampRetryAfter(c.warmServiceTime)}
 	}
-	choice := Choice{Server: best.server.Server, Warm: best.warm, InFlight: best.inFlight, EstimatedLatency: clock.Millis(best.estimatedLatency)}
+	choice := Choice{Server: best.server.Server, Warm: best.warm, InFlight: best.inFlight, EstimatedLatency: clock.Millis(best.estimatedLatency), newObject: best.server == home}
 	if excess := b.excessDelay(req, c, best, now); excess > 0 {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
 		choice.RetryAfter = clampRetryAfter((excess + c.warmServiceTime) * b.retryJitterFactor())
@@ -274,23 +277,24 @@
 	return choice
 }
 
-// bestServer returns the server for a request, or nil and the reason for a refusal.
-func (b *Balancer) bestServer(p *pool, ranked []*server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
-	preferred, home := ranked[:min(preferredServers, len(ranked))], (*server)(nil)
+// bestServer returns the server for a request, or nil and the reason for a refusal. home
+// is the server to which the object should go if it has no known placement.
+func (b *Balancer) bestServer(p *pool, ranked []*server, req Request, seed uint64, c *class, now clock.Millis) (best *candidate, home *server, reason string) {
+	preferred := ranked[:min(preferredServers, len(ranked))]
 	if req.Object != "" {
 		preferred, home = p.preferredFor(ranked, seed, now)
 		if s := p.underused(ranked, preferred, now); home == nil && s != nil {
-			best, _ := b.bestCandidate([]*server{s}, nil, req, seed, c, now)
+			best, _ = b.bestCandidate([]*server{s}, nil, req, seed, c, now)
 			if best != nil && best.estimatedLatency <= timeLeftFactor*float64(req.TimeLeft) {
-				return best, ""
+				return best, nil, ""
 			}
 		}
 	}
-	best, reason := b.bestCandidate(preferred, home, req, seed, c, now)
+	best, reason = b.bestCandidate(preferred, home, req, seed, c, now)
 	if best == nil || (best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)) {
-		return b.bestCandidate(ranked, home, req, seed, c, now)
+		best, reason = b.bestCandidate(ranked, home, req, seed, c, now)
 	}
-	return best, reason
+	return best, home, reason
 }
 
 // rankingSeed returns the hash by which the servers are ranked for a request. It differs
@@ -317,7 +321,16 @@
 			reason = ReasonCold
 			continue
 		}
-		cand := b.estimateLatency(s, s == home || req.Object == "" || s.hasRecentObject(seed, now), c)
+		warm := req.Object == "" || s.hasRecentObject(seed, now)
+		serviceTime := c.coldServiceTime
+		switch {
+		case warm:
+			serviceTime = c.warmServiceTime
+		case s == home:
+			serviceTime = c.newObjectServiceTime()
+		}
+		cand := b.estimateLatency(s, serviceTime, c)
+		cand.warm = warm
 		cost := cand.estimatedLatency
 		if s == home {
 			cost *= affinityFactor
@@ -331,16 +344,12 @@
 
 // estimateLatency predicts the time until a server's response: the round trip, the wait
 // for a slot, the service time and the penalty for load that is not yet reported.
-func (b *Balancer) estimateLatency(s *server, warm bool, c *class) candidate {
+func (b *Balancer) estimateLatency(s *server, serviceTime float64, c *class) candidate {
 	inFlight := s.localInFlight + s.remoteInFlight
-	serviceTime := c.coldServiceTime
-	if warm {
-		serviceTime = c.warmServiceTime
-	}
 	serviceTime *= s.slowdown
 	queueDelay := c.queueDelay(s, inFlight)
 	penalty := staleLoadPenalty * serviceTime * math.Min(1, float64(inFlight)/float64(s.Slots))
-	return candidate{server: s, warm: warm, inFlight: inFlight, queueDelay: queueDelay, serviceTime: serviceTime, estimatedLatency: b.rtt(s.Region) + queueDelay + serviceTime + penalty}
+	return candidate{server: s, inFlight: inFlight, queueDelay: queueDelay, serviceTime: serviceTime, estimatedLatency: b.rtt(s.Region) + queueDelay + serviceTime + penalty}
 }
 
 // queueDelay estimates the time in ms until a server has a free slot for one more
--- a/pkg/balancer/placement_test.go
+++ b/pkg/balancer/placement_test.go
@@ -97,3 +97,29 @@
 		}
 	})
 }
+
+// The estimate for objects without a known placement follows what was observed for others:
+// at the start of the fleet no server is warm, after a restart of all hosts those are
+// that the objects went to before.
+func TestNewObjectServiceTime(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		duration clock.Millis
+		cold     bool
+	}{{"servers are cold", 380, true}, {"servers are warm", 120, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			withBalancer("n", makeServers("n", 12, 3), func(b *Balancer) {
+				for i := range 40 {
+					req := request(fmt.Sprint("o", i))
+					choice := b.Choose(req, 1000)
+					warm := b.StartAttempt(choice, req, 1000)
+					b.FinishAttempt(Attempt{Choice: choice, Class: "look", KnownWarm: warm, Result: Answered, Duration: c.duration}, 1000+c.duration)
+				}
+				estimate := b.Choose(request("new"), 2000).EstimatedLatency
+				if isCold := estimate > 250; isCold != c.cold {
+					t.Errorf("estimate of %d ms for a new object, want above 250 ms: %v", estimate, c.cold)
+				}
+			})
+		})
+	}
+}
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -18,6 +18,11 @@
 	// minColdFactor is the smallest ratio of cold to warm service time. It keeps the two
 	// estimates of a class apart.
 	minColdFactor = 1.2
+	// initialColdness is newObjectColdness before the first response. After a start of the
+	// whole fleet the servers may be warm or not.
+	initialColdness = 0.5
+	// coldnessWeight is the weight of one response in newObjectColdness.
+	coldnessWeight = 0.1
 )
 
 // class holds the statistics of one class of requests.
@@ -25,6 +30,9 @@
 	// warmServiceTime and coldServiceTime are the service times in ms at servers that
 	// handled the object recently and at all others.
 	warmServiceTime, coldServiceTime float64
+	// newObjectColdness is the fraction of objects without a known placement for which the
+	// server that they went to was not warm.
+	newObjectColdness float64
 	// usualTimeout is the time in ms that callers allow for their first attempts.
 	usualTimeout float64
 }
@@ -52,18 +60,39 @@
 	c := b.classes[req.Class]
 	if c == nil {
 		warmServiceTime := math.Max(1, float64(req.TargetLatency)/2)
-		c = &class{warmServiceTime: warmServiceTime, coldServiceTime: warmServiceTime * defaultColdFactor}
+		c = &class{warmServiceTime: warmServiceTime, coldServiceTime: warmServiceTime * defaultColdFactor, newObjectColdness: initialColdness}
 		b.classes[req.Class] = c
 	}
 	return c
 }
 
+// isCold reports whether a service time is that of a server that was not warm.
+func (c *class) isCold(serviceTime float64) bool {
+	return serviceTime >= math.Sqrt(c.warmServiceTime*c.coldServiceTime)
+}
+
+// observeNewObject records the service time for an object without a known placement.
+func (c *class) observeNewObject(serviceTime float64) {
+	coldness := 0.0
+	if c.isCold(serviceTime) {
+		coldness = 1
+	}
+	c.newObjectColdness += coldnessWeight * (coldness - c.newObjectColdness)
+}
+
+// newObjectServiceTime returns the expected service time for an object without a known
+// placement at the server that it should go to. After a restart of all hosts that server
+// is warm; at the start of the fleet, and for objects that are rarely used, it is not.
+func (c *class) newObjectServiceTime() float64 {
+	return c.warmServiceTime + c.newObjectColdness*(c.coldServiceTime-c.warmServiceTime)
+}
+
 // observe moves the closer of the two service times towards a measured one.
 func (c *class) observe(serviceTime float64) {
-	if serviceTime < math.Sqrt(c.warmServiceTime*c.coldServiceTime) {
-		c.warmServiceTime += serviceTimeWeight * (serviceTime - c.warmServiceTime)
-	} else {
+	if c.isCold(serviceTime) {
 		c.coldServiceTime += serviceTimeWeight * (serviceTime - c.coldServiceTime)
+	} else {
+		c.warmServiceTime += serviceTimeWeight * (serviceTime - c.warmServiceTime)
 	}
 	c.coldServiceTime = max(c.coldServiceTime, minColdFactor*c.warmServiceTime)
 }
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -214,6 +214,9 @@
 		s.slowdown += slowdownWeight * (ratio - s.slowdown)
 		s.slowdown = math.Min(math.Max(s.slowdown, minSlowdown), maxSlowdown)
 	}
+	if slotFree && a.Choice.newObject {
+		c.observeNewObject(serviceTime / math.Max(1, s.slowdown))
+	}
 	if slotFree {
 		c.observe(serviceTime / math.Max(1, s.slowdown))
 	}
