balancer: idle servers take over objects of overloaded ones

Cause: a request whose warm server answers late was sent to another one only when that one, without knowing the object, was expected earlier.

Change: a server that must warm up and has most of its slots free counts as faster when the warm one is late. The request is late in either case; the next ones find two warm servers.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -35,6 +35,10 @@
 	// affinityFactor scales the estimated latency of an object's top-ranked server, so
 	// that objects stay on the servers that are warm for them.
 	affinityFactor = 0.8
+	// idleFactor scales the estimated latency of a server that must warm up for the object
+	// and has most of its slots free. maxIdleTimeFraction is the fraction of the time left
+	// in which its response must be expected.
+	idleFactor, maxIdleTimeFraction = 0.6, 0.8
 	// staleLoadPenalty is the fraction of the service time that is added to the estimate
 	// for a fully loaded server, because reports of other hosts are still under way.
 	staleLoadPenalty = 0.1
@@ -249,6 +253,9 @@
 	inFlight                                  int
 }
 
+// isIdle reports whether the server has most of its slots free.
+func (c *candidate) isIdle() bool { return 2*c.inFlight < c.server.Slots }
+
 // Choose picks the server for a request or refuses it. The caller calls StartAttempt
 // when it sends the request and FinishAttempt when the attempt has ended.
 //
@@ -307,8 +314,12 @@
 	return objectHash(req)
 }
 
-// bestCandidate returns the server with the lowest estimated latency, with a bias for
-// home, or nil and the reason for a refusal.
+// bestCandidate returns the server with the lowest estimated latency, or nil and the
+// reason for a refusal.
+//
+// Two kinds of servers count as faster than they are: home, so that few servers warm up
+// for an object, and idle ones, so that an object whose server is overloaded gets a second
+// one. Its request is late in either case; later ones find two warm servers.
 func (b *Balancer) bestCandidate(ranked []*server, home *server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
 	var best *candidate
 	var bestCost float64
@@ -335,6 +346,9 @@
 		if s == home {
 			cost *= affinityFactor
 		}
+		if !warm && cand.isIdle() && cand.estimatedLatency < maxIdleTimeFraction*float64(req.TimeLeft) {
+			cost *= idleFactor
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = &cand, cost
 		}
--- a/pkg/balancer/placement_test.go
+++ b/pkg/balancer/placement_test.go
@@ -123,3 +123,21 @@
 		})
 	}
 }
+
+// An object whose server is overloaded gets a second, idle one, which answers later
+// requests in time.
+func TestOverloadedServerGetsHelp(t *testing.T) {
+	withBalancer("n", makeServers("n", 4, 3), func(b *Balancer) {
+		first := send(t, b, "a", 1000)
+		for range 6 {
+			b.StartAttempt(Choice{Server: b.servers[first].Server}, request("a"), 1100)
+		}
+		second := send(t, b, "a", 1200)
+		if second == first {
+			t.Fatalf("request waits at %s behind three others, want an idle server", first)
+		}
+		if got := send(t, b, "a", 1300); got != second {
+			t.Errorf("next request goes to %s, want %s, which is warm and idle", got, second)
+		}
+	})
+}
