hoster: a host that starts gets all placements on either side of an exchange

Cause: a host's first report to another one goes out before it knows that host's region, and held no placements; the next report counted as a continuation. So a host that started and is called first by its neighbors knew no placements until they were announced again.

Change: all placements are sent until a report that held them is acknowledged by that process.

Figures: TestPlacementsAreShared: 0 placements known after two exchanges before, want 1; passes.

--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -52,6 +52,9 @@
 	// completely, or 0. ackedSequence is that of this host's last report that it has
 	// applied, or 0.
 	appliedSequence, ackedSequence uint64
+	// placementsSequence is the sequence number of the first report to it that held all
+	// placements, or 0.
+	placementsSequence uint64
 }
 
 // isLive reports whether the host's last report is recent.
@@ -186,12 +189,20 @@
 	return m.region == cfg.Region && !m.leaving && m.isLive(now)
 }
 
-// isInRegion reports whether another host has reported that it is in this host's region.
-func (f *fleet) isInRegion(name string) bool {
+// placementState reports whether another host has reported that it is in this host's region,
+// and whether it has applied a report of this host that held all placements. If not, the
+// report with the given sequence number is taken for one.
+func (f *fleet) placementState(name string, sequence uint64) (inRegion, hasPlacements bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[name]
-	return m != nil && m.region == f.cfg.Region
+	if m == nil || m.region != f.cfg.Region {
+		return false, false
+	}
+	if m.placementsSequence == 0 {
+		m.placementsSequence = sequence
+	}
+	return true, m.ackedSequence >= m.placementsSequence
 }
 
 // relayRevisions returns the store revisions that a host knew, if this host relays
@@ -238,7 +249,7 @@
 		oldPeerAddress = m.peerAddress
 	}
 	if m.incarnation != r.GetIncarnation() {
-		m.appliedSequence = 0
+		m.appliedSequence, m.placementsSequence = 0, 0
 	}
 	m.incarnation, m.sequence, m.ackedSequence = r.GetIncarnation(), r.GetSequence(), 0
 	if r.GetEchoIncarnation() == f.incarnation {
@@ -337,26 +348,25 @@
 	since := clock.Millis(0)
 	r.UsesAfter, since = h.fleet.baseReport(receiver)
 	r.Uses = encodeUsage(h.rationer.UsageSince(since, now))
-	r.Placements = encodePlacements(h.placementsFor(receiver, since, now))
+	r.Placements = encodePlacements(h.placementsFor(receiver, r.Sequence, since, now))
 	for name, rate := range h.balancer.Demands(now) {
 		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
 	}
 	return r
 }
 
-// placementsFor returns the placements for a report to another host, whose last applied
-// report of this host is from since. Hosts of other regions place objects by themselves.
-// A host without a report gets all placements, from two hosts of its region.
-func (h *Host) placementsFor(receiver string, since, now clock.Millis) []balancer.Placement {
+// placementsFor returns the placements for the next report to another host, whose last
+// applied report of this host is from since. Hosts of other regions place objects by
+// themselves. A host that has started gets all placements, from two hosts of its region.
+func (h *Host) placementsFor(receiver string, sequence uint64, since, now clock.Millis) []balancer.Placement {
+	inRegion, hasPlacements := h.fleet.placementState(receiver, sequence)
 	switch {
-	case !h.fleet.isInRegion(receiver):
+	case !inRegion:
 		return nil
-	case since > 0:
-		return h.balancer.PlacementsSince(since)
-	case h.fleet.liveHosts(now).RegionIndex < placementSenders:
+	case !hasPlacements && h.fleet.liveHosts(now).RegionIndex < placementSenders:
 		return h.balancer.Placements(now)
 	default:
-		return nil
+		return h.balancer.PlacementsSince(since)
 	}
 }
 
--- a/pkg/hoster/report_test.go
+++ b/pkg/hoster/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/cataloger"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/schema"
@@ -103,3 +104,52 @@
 		}
 	})
 }
+
+func assertPlacements(t *testing.T, step string, h *Host, want int) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if got := len(h.balancer.Placements(h.cfg.Clock.Now())); got != want {
+		t.Errorf("%s: host %s knows %d placements, want %d", step, h.cfg.Name, got, want)
+	}
+}
+
+// Hosts of a region learn from each other which servers are warm for an object, also
+// those that start later. Other regions don't get these reports.
+func TestPlacementsAreShared(t *testing.T) {
+	withHosts(t, []string{"a1", "a2", "a3", "b1"}, func(n *testNetwork, h map[string]*Host) {
+		for _, host := range h {
+			makeReady(host, 1, testServer("s1", "za"), testServer("s2", "za"))
+		}
+		a := h["a1"]
+		for _, other := range []string{"a2", "b1"} {
+			exchangeReports(a, h[other])
+			exchangeReports(a, h[other])
+		}
+		n.clock.Advance(10)
+		a.chooseServer(balancer.Request{Service: "desk", Class: "p", Object: "o", TargetLatency: 250, TimeLeft: 800})
+		for _, other := range []string{"a2", "b1", "a3"} {
+			n.clock.Advance(10)
+			exchangeReports(a, h[other])
+			exchangeReports(a, h[other])
+		}
+		assertPlacements(t, "after a request", a, 1)
+		assertPlacements(t, "same region", h["a2"], 1)
+		assertPlacements(t, "same region, first exchange", h["a3"], 1)
+		assertPlacements(t, "other region", h["b1"], 0)
+	})
+}
+
+// Reports with placements that don't fit together, or of unknown servers, do no harm.
+func TestDecodePlacements(t *testing.T) {
+	names := make(namesByHash)
+	names.add("s1")
+	valid := encodePlacements([]balancer.Placement{{Object: 7, Server: "s1"}, {Object: 8, Server: "unknown"}})
+	if got := decodePlacements(valid, names); len(got) != 1 || got[0].Object != 7 || got[0].Server != "s1" {
+		t.Errorf("decoded %v, want object 7 at s1", got)
+	}
+	valid.ObjectHashes = nil
+	if got := decodePlacements(valid, names); len(got) != 0 {
+		t.Errorf("decoded %v of a list without objects", got)
+	}
+}
