--- a/pkg/balancer/placement.go
+++ b/pkg/balancer/placement.go
@@ -179,17 +179,17 @@
 	if len(ranked) == 0 || len(warm) == 0 {
 		return nil
 	}
-	first, total := ranked[0], p.objectCount()
-	if first.isUnavailable(now) || first.isCold(now) || float64(len(first.recentObjects)) >= minObjectsFactor*p.fairObjects(first, total) {
-		return nil
-	}
-	if first.localInFlight+first.remoteInFlight >= first.Slots {
-		return nil
-	}
+	first := ranked[0]
 	for _, s := range warm {
 		if s == first || len(s.recentObjects) <= len(first.recentObjects)+1 {
 			return nil
 		}
 	}
+	if first.isUnavailable(now) || first.isCold(now) || first.localInFlight+first.remoteInFlight >= first.Slots {
+		return nil
+	}
+	if float64(len(first.recentObjects)) >= minObjectsFactor*p.fairObjects(first, p.objectCount()) {
+		return nil
+	}
 	return first
 }
--- a/pkg/balancer/placement_test.go
+++ b/pkg/balancer/placement_test.go
@@ -141,3 +141,20 @@
 		}
 	})
 }
+
+// BenchmarkChoose measures a decision with 200 servers and 500 objects.
+func BenchmarkChoose(b *testing.B) {
+	balancer := New(Config{Region: "n", ShiftRate: 0.02})
+	balancer.SetServers(makeServers("n", 200, 6))
+	requests := make([]Request, 500)
+	for i := range requests {
+		requests[i] = request(fmt.Sprint("o", i))
+	}
+	for i := 0; b.Loop(); i++ {
+		now := clock.Millis(1000 + i/10)
+		req := requests[i%len(requests)]
+		c := balancer.Choose(req, now)
+		warm := balancer.StartAttempt(c, req, now)
+		balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: warm, Result: Answered, Duration: 120}, now)
+	}
+}
