--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -5,8 +5,6 @@
 
 import (
 	"cmp"
-	"math"
-	"slices"
 
 	"catkindyke/pkg/clock"
 )
@@ -243,19 +241,6 @@
 	return inFlight
 }
 
-// candidate is a server with its latency estimate for one request.
-type candidate struct {
-	server *server
-	warm   bool
-	// estimatedLatency is the time until the response. It includes queueDelay, the wait
-	// for a slot, and serviceTime, the time to process the request. All are in ms.
-	estimatedLatency, queueDelay, serviceTime float64
-	inFlight                                  int
-}
-
-// isIdle reports whether the server has most of its slots free.
-func (c *candidate) isIdle() bool { return 2*c.inFlight < c.server.Slots }
-
 // Choose picks the server for a request or refuses it. The caller calls StartAttempt
 // when it sends the request and FinishAttempt when the attempt has ended.
 //
@@ -284,26 +269,6 @@
 	return choice
 }
 
-// bestServer returns the server for a request, or nil and the reason for a refusal. home
-// is the server to which the object should go if it has no known placement.
-func (b *Balancer) bestServer(p *pool, ranked []*server, req Request, seed uint64, c *class, now clock.Millis) (best *candidate, home *server, reason string) {
-	preferred := ranked[:min(preferredServers, len(ranked))]
-	if req.Object != "" {
-		preferred, home = p.preferredFor(ranked, seed, now)
-		if s := p.underused(ranked, preferred, now); home == nil && s != nil {
-			best, _ = b.bestCandidate([]*server{s}, nil, req, seed, c, now)
-			if best != nil && best.estimatedLatency <= timeLeftFactor*float64(req.TimeLeft) {
-				return best, nil, ""
-			}
-		}
-	}
-	best, reason = b.bestCandidate(preferred, home, req, seed, c, now)
-	if best == nil || (best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)) {
-		best, reason = b.bestCandidate(ranked, home, req, seed, c, now)
-	}
-	return best, home, reason
-}
-
 // rankingSeed returns the hash by which the servers are ranked for a request. It differs
 // for each request without an object, which spreads them over the servers.
 func (b *Balancer) rankingSeed(req Request) uint64 {
@@ -314,68 +279,6 @@
 	return objectHash(req)
 }
 
-// bestCandidate returns the server with the lowest estimated latency, or nil and the
-// reason for a refusal.
-//
-// Two kinds of servers count as faster than they are: home, so that few servers warm up
-// for an object, and idle ones, so that an object whose server is overloaded gets a second
-// one. Its request is late in either case; later ones find two warm servers.
-func (b *Balancer) bestCandidate(ranked []*server, home *server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
-	var best *candidate
-	var bestCost float64
-	reason := ReasonNoServer
-	for _, s := range ranked {
-		if slices.Contains(req.AttemptedServers, s.ID) || s.isUnavailable(now) {
-			continue
-		}
-		if s.isCold(now) && !s.hasColdToken(b, now) {
-			reason = ReasonCold
-			continue
-		}
-		warm := req.Object == "" || s.hasRecentObject(seed, now)
-		serviceTime := c.coldServiceTime
-		switch {
-		case warm:
-			serviceTime = c.warmServiceTime
-		case s == home:
-			serviceTime = c.newObjectServiceTime()
-		}
-		cand := b.estimateLatency(s, serviceTime, c)
-		cand.warm = warm
-		cost := cand.estimatedLatency
-		if s == home {
-			cost *= affinityFactor
-		}
-		if !warm && cand.isIdle() && cand.estimatedLatency < maxIdleTimeFraction*float64(req.TimeLeft) {
-			cost *= idleFactor
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = &cand, cost
-		}
-	}
-	return best, reason
-}
-
-// estimateLatency predicts the time until a server's response: the round trip, the wait
-// for a slot, the service time and the penalty for load that is not yet reported.
-func (b *Balancer) estimateLatency(s *server, serviceTime float64, c *class) candidate {
-	inFlight := s.localInFlight + s.remoteInFlight
-	serviceTime *= s.slowdown
-	queueDelay := c.queueDelay(s, inFlight)
-	penalty := staleLoadPenalty * serviceTime * math.Min(1, float64(inFlight)/float64(s.Slots))
-	return candidate{server: s, inFlight: inFlight, queueDelay: queueDelay, serviceTime: serviceTime, estimatedLatency: b.rtt(s.Region) + queueDelay + serviceTime + penalty}
-}
-
-// queueDelay estimates the time in ms until a server has a free slot for one more
-// request.
-func (c *class) queueDelay(s *server, inFlight int) float64 {
-	queued := inFlight + 1 - s.Slots
-	if queued <= 0 {
-		return 0
-	}
-	return float64(queued) / float64(s.Slots) * c.warmServiceTime * s.slowdown
-}
-
 // Tick drops old load reports, moves the shares of the regions and lets servers that
 // were slow be tried again. It is called periodically.
 func (b *Balancer) Tick(now clock.Millis) {
--- /dev/null
+++ b/pkg/hoster/report.go
@@ -0,0 +1,118 @@
+package hoster
+
+import (
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/schema"
+)
+
+// buildReport builds a report to another host.
+func (h *Host) buildReport(receiver string) *schema.HostReport {
+	now := h.cfg.Clock.Now()
+	r := &schema.HostReport{
+		Name: h.cfg.Name, Incarnation: h.incarnation, Sequence: h.reportSequence.Add(1),
+		Region: h.cfg.Region, AvailabilityZone: h.cfg.AvailabilityZone,
+		CallerAddress: h.cfg.CallerAddress, PeerAddress: h.cfg.PeerAddress,
+		Ready: h.Ready(), Leaving: h.leaving.Load(),
+	}
+	r.EchoIncarnation, r.EchoSequence = h.fleet.lastApplied(receiver)
+	h.fleet.recordSent(r.Sequence, now)
+	r.StoreLost = h.storeLostAt.Load() != 0
+	r.Revisions = encodeRevisions(h.relayer.Revisions())
+	r.Batches = encodeBatches(h.relayer.MissingBatches(h.fleet.relayRevisions(receiver, now)))
+	r.ConfigVersion, r.ConfigAgeMs = h.reportedConfig(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.Loads = encodeInFlight(h.balancer.InFlight())
+	since := clock.Millis(0)
+	r.UsesAfter, since = h.fleet.baseReport(receiver)
+	r.Uses = encodeUsage(h.rationer.UsageSince(since, now))
+	r.Placements = encodePlacements(h.placementsFor(receiver, r.Sequence, since, now))
+	for name, rate := range h.balancer.Demands(now) {
+		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
+	}
+	return r
+}
+
+// placementsFor returns the placements for the next report to another host, whose last
+// applied report of this host is from since. Hosts of other regions place objects by
+// themselves. A host that has started gets all placements, from two hosts of its region.
+func (h *Host) placementsFor(receiver string, sequence uint64, since, now clock.Millis) []balancer.Placement {
+	inRegion, hasPlacements := h.fleet.placementState(receiver, sequence)
+	switch {
+	case !inRegion:
+		return nil
+	case !hasPlacements && h.fleet.liveHosts(now).RegionIndex < placementSenders:
+		return h.balancer.Placements(now)
+	default:
+		return h.balancer.PlacementsSince(since)
+	}
+}
+
+// reportedConfig returns the version of the configuration for a report, and one more
+// than the age of its confirmation in ms, or 0 if there is none.
+func (h *Host) reportedConfig(now clock.Millis) (version, ageMs uint64) {
+	// The version is read after the confirmation. A version that comes in between only
+	// excludes more receivers; the reverse order could confirm a replaced version.
+	asOf := clock.Millis(h.configConfirmedAt.Load())
+	if c := h.catalog.Load(); c != nil {
+		version = c.Version()
+	}
+	if asOf >= 0 {
+		ageMs = uint64(max(0, now-asOf)) + 1
+	}
+	return version, ageMs
+}
+
+// configConfirmation returns a time at which, by the report of another host, this
+// host knew the newest configuration. The report is no older than the report of this
+// host that it echoes, however long it was in transit.
+func (h *Host) configConfirmation(r *schema.HostReport) (asOf clock.Millis, ok bool) {
+	c := h.catalog.Load()
+	if c == nil || r.GetConfigAgeMs() == 0 || r.GetConfigVersion() > c.Version() || r.GetEchoIncarnation() != h.incarnation {
+		return 0, false
+	}
+	sentAt, ok := h.fleet.sentAt(r.GetEchoSequence())
+	return sentAt - clock.Millis(r.GetConfigAgeMs()), ok
+}
+
+// handleReport applies the report of another host. rtt is 0 when the other host made
+// the call.
+func (h *Host) handleReport(r *schema.HostReport, rtt clock.Millis) {
+	h.receiveMu.Lock()
+	defer h.receiveMu.Unlock()
+	now := h.cfg.Clock.Now()
+	oldPeerAddress, newer := h.fleet.recordReport(r, now)
+	if !newer {
+		return
+	}
+	if oldPeerAddress != "" {
+		h.gossiper.RemovePeer(oldPeerAddress)
+	}
+	h.enqueueBatches(r.GetBatches())
+	h.relayer.ObserveRevisions(decodeRevisions(r.GetRevisions()), now)
+	if asOf, ok := h.configConfirmation(r); ok {
+		h.confirmConfig(asOf)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.balancer.SetLoadReport(r.GetName(), balancer.LoadReport{
+		Region: r.GetRegion(), InFlight: decodeInFlight(r.GetLoads(), h.serverNames), Demands: decodeRates(r.GetServiceDemands()),
+	}, now)
+	h.balancer.ApplyPlacements(decodePlacements(r.GetPlacements(), h.serverNames), now)
+	if rtt > 0 {
+		h.balancer.RecordRTT(r.GetRegion(), float64(rtt))
+	}
+	if h.catalog.Load() == nil {
+		// Without workspaces, counts of admitted requests can't be assigned to them.
+		return
+	}
+	complete := r.GetUsesAfter() == 0 || h.rationer.HasBaseline(r.GetName(), r.GetIncarnation())
+	if complete {
+		h.rationer.ApplyReport(r.GetName(), rationer.Report{
+			Incarnation: r.GetIncarnation(), Usage: decodeUsage(r.GetUses(), h.workspaceNames),
+		}, now)
+	}
+	h.fleet.recordApplied(r.GetName(), complete)
+}
