--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -111,6 +111,7 @@
 }
 
 func (c replayCase) run(t *testing.T) {
+	t.Parallel()
 	if c.size.hosts == nil {
 		c.size = small
 	}
