rationer: count what was admitted after a bucket was full

Cause: the level of the fleet's bucket after a start of all hosts was computed from all admissions since then and cut to the burst at the end. When a further host joined later, hosts that had started together computed it again, and what a workspace had not used for seconds counted as tokens: 576 requests above rate and burst in 5 s in TestJoiningHostDoesNotFillBucket, want at most 80.

Change: the tokens are cut to the burst before the admissions are subtracted, so that the result is no higher than the true level.

--- a/pkg/balancer/placement.go
+++ b/pkg/balancer/placement.go
@@ -152,7 +152,7 @@
 // A rank by hash alone gives some servers twice the objects of others when there are few
 // objects per server, and moves objects whenever shares or servers change, although
 // other servers are warm for them. So an object stays where it is, and a new one goes to
-// the highest-ranked server that has not more than its fair number.
+// the highest-ranked server that stays within maxObjectsFactor of its fair number.
 func (p *pool) preferredFor(ranked []*server, object uint64, now clock.Millis) (preferred []*server, home *server) {
 	for _, s := range ranked {
 		if s.hasRecentObject(object, now) && !s.isUnavailable(now) {
--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -226,16 +226,17 @@
 
 // restoreFleetLevels computes the fleet's buckets from what all hosts have admitted since
 // the start of the fleet. Until all have reported, the buckets lack the shares of the
-// others, which might be partitioned.
+// others, which might be partitioned. The result is no higher than the true level: it
+// counts no tokens for what was admitted after the bucket was full.
 func (r *Rationer) restoreFleetLevels(now clock.Millis) {
 	for name, b := range r.buckets {
 		r.refill(name, b, now)
 		seconds := r.cfg.RestartAllowance + float64(now-b.createdAt)/1000
-		level := initialTokenShare*b.limit.Burst + b.limit.Rate*seconds - float64(b.admitted)
+		level := math.Min(initialTokenShare*b.limit.Burst+b.limit.Rate*seconds, b.limit.Burst) - float64(b.admitted)
 		for _, h := range r.hosts {
 			level -= float64(h.usage[name].Admitted)
 		}
-		b.fleetLevel = math.Max(b.fleetLevel, math.Min(level, b.limit.Burst))
+		b.fleetLevel = math.Max(b.fleetLevel, level)
 	}
 }
 
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -394,3 +394,32 @@
 		}
 	})
 }
+
+// A host that joins a fleet whose hosts started together must not fill a bucket that was
+// full for a while and has been spent since.
+func TestJoiningHostDoesNotFillBucket(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100}
+	f := newFleet(8, limit)
+	f.restart(limit)
+	for range 400 { // 10 s without requests
+		f.now += 25
+		f.exchange()
+	}
+	for step := range 200 {
+		f.now += 25
+		f.exchange()
+		if step%20 == 19 {
+			joining := Report{Incarnation: f.incarnation + uint64(10+step)*nanosPerMilli}
+			for _, r := range f.hosts {
+				r.AddHost(fmt.Sprint("new", step), f.now)
+				r.ApplyReport(fmt.Sprint("new", step), joining, f.now)
+			}
+		}
+		for host := range 8 {
+			f.offer(host, 4)
+		}
+	}
+	if excess := f.maxExcess(limit, 5000); excess > 0.1*(5*100+100)+20 {
+		t.Errorf("%.0f requests above rate and burst, want at most 80", excess)
+	}
+}
