rationer: use of the fleet's bucket by shares only after a start of all hosts

Change: each host uses its share of the bucket for 2 s after a start of all hosts only, when its own tokens are few, and buckets are computed again only in their first 2 s.

--- a/pkg/rationer/rationer.go
+++ b/pkg/rationer/rationer.go
@@ -32,7 +32,8 @@
 	// fractions of the burst, above which a host admits one and two requests beyond
 	// its share within a fleetWindow. The window is about as long as the counts of
 	// other hosts are old, so each host exceeds the bucket by a few requests at most.
-	// Of what the bucket holds above fleetReserve, each host may use its share as well.
+	// Of what the bucket holds above fleetReserve, each host may use its share as well
+	// for fleetStartWindow after a start of all hosts, when its own tokens are few.
 	fleetLevelForOne, fleetLevelForTwo, fleetReserve              = 0.5, 0.65, 0.2
 	fleetWindow                                      clock.Millis = 500
 	// fleetStartWindow is the time within which all hosts start when the whole fleet does.
@@ -120,8 +121,10 @@
 	decayedAt  clock.Millis
 	// requestedAt is the time of the last request.
 	requestedAt clock.Millis
-	// fleetLevel is the estimated number of tokens in the fleet's bucket.
-	fleetLevel float64
+	// fleetLevel is the estimated number of tokens in the fleet's bucket. It was computed
+	// after a start of all hosts fleetStartWindow before restoredUntil.
+	fleetLevel    float64
+	restoredUntil clock.Millis
 	// admitted is the number of requests that this host has admitted.
 	admitted uint64
 	// share is this host's share at the last refill, and history its lowest values.
@@ -230,7 +233,11 @@
 // counts no tokens for what was admitted after the bucket was full.
 func (r *Rationer) restoreFleetLevels(now clock.Millis) {
 	for name, b := range r.buckets {
+		if now-b.createdAt > fleetStartWindow {
+			continue
+		}
 		r.refill(name, b, now)
+		b.restoredUntil = now + fleetStartWindow
 		seconds := r.cfg.RestartAllowance + float64(now-b.createdAt)/1000
 		level := math.Min(initialTokenShare*b.limit.Burst+b.limit.Rate*seconds, b.limit.Burst) - float64(b.admitted)
 		for _, h := range r.hosts {
@@ -306,7 +313,7 @@
 	}
 	capacity := b.limit.Burst * reportingShare
 	isFilled := b.fleetAdmissions < 2 && b.fleetLevel >= math.Max(1, level*capacity)
-	if !isFilled && float64(b.fleetAdmissions+1) > b.share*(b.fleetLevel-fleetReserve*capacity) {
+	if !isFilled && (now >= b.restoredUntil || float64(b.fleetAdmissions+1) > b.share*(b.fleetLevel-fleetReserve*capacity)) {
 		return false
 	}
 	b.fleetAdmissions++
