--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -283,6 +283,7 @@
 	h.cfg.Meter.Set("hosts_live", int64(h.fleet.liveCount(now)))
 	h.cfg.Meter.Set("config_age_ms", int64(now)-h.configConfirmedAt.Load())
 	h.cfg.Meter.Set("servers", int64(len(h.registrar.Entries())))
+	h.cfg.Meter.Set("kinds_behind", int64(len(h.relayer.LaggingKinds(now))))
 	if h.ticksSinceSweep++; h.ticksSinceSweep >= ticksPerSweep {
 		h.ticksSinceSweep = 0
 		entries := h.registrar.Entries()
