platform: wait longer for the store only while up to date

Cause: a host that the store does not answer waited four times as long, up to 4 s, between its calls if other hosts had confirmed its configuration at the moment of a failed call. The first hosts to return confirm the version of before the outage, so that the others chose the long delay just then, and kept it when newer versions were known: a decision on a state that had ended meanwhile.

Ruled out: a store that leaves calls unanswered after its return (its counts show no such call).

--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -33,9 +33,9 @@
 	// again.
 	StoreLost     func(err error)
 	StoreRegained func()
-	// ReceivesUpdates reports whether the host receives changes, from the store or
-	// from other hosts.
-	ReceivesUpdates func() bool
+	// IsUpToDate reports whether the host receives changes, from the store or from
+	// other hosts, and lacks none that another host has known for some time.
+	IsUpToDate func() bool
 	// ReplaceServers replaces the list of backend servers. SetServer and
 	// RemoveServer change one entry, which takes effect after BatchApplied.
 	ReplaceServers func(list []registrar.Server)
@@ -75,7 +75,7 @@
 		RemoveServer: func(id string) {
 			h.apply(func() { h.registrar.Remove(id, h.cfg.Clock.Now()); h.logServerRemoved(id); h.serversChanged = true })
 		},
-		ReceivesUpdates:    h.receivesUpdates,
+		IsUpToDate:         h.isUpToDate,
 		ReplaceEvacuations: func(zones []string) { h.apply(func() { h.replaceEvacuations(zones) }) },
 		SetEvacuation:      func(zone string, active bool) { h.apply(func() { h.setEvacuation(zone, active); h.publishServers() }) },
 		SetHost:            func(name, address string) { h.apply(func() { h.setHost(name, address) }) },
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -310,6 +310,12 @@
 	return h.storeLostAt.Load() == 0 || h.cfg.Clock.Now()-clock.Millis(h.configConfirmedAt.Load()) <= maxConfigAgeWithoutStore
 }
 
+// isUpToDate reports whether the host receives changes and lacks none that another host
+// has known for some time.
+func (h *Host) isUpToDate() bool {
+	return h.receivesUpdates() && len(h.relayer.LaggingKinds(h.cfg.Clock.Now())) == 0
+}
+
 // Ready reports whether callers should use this host. One that receives no updates
 // may still serve, but misses changes.
 func (h *Host) Ready() bool {
