--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -33,8 +33,8 @@
 	// again.
 	StoreLost     func(err error)
 	StoreRegained func()
-	// IsUpToDate reports whether the host receives changes, from the store or from
-	// other hosts, and lacks none that another host has known for some time.
+	// IsUpToDate reports whether the host has received all changes, from the store or
+	// from other hosts, since it last listed the servers.
 	IsUpToDate func() bool
 	// ReplaceServers replaces the list of backend servers. SetServer and
 	// RemoveServer change one entry, which takes effect after BatchApplied.
@@ -66,6 +66,7 @@
 			h.apply(func() {
 				h.registrar.Replace(list, h.cfg.Clock.Now())
 				h.serversListed.Store(true)
+				h.inOutage.Store(false)
 				h.publishServers()
 			})
 		},
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -145,7 +145,10 @@
 	// configConfirmedAt is when the configuration was last known to be the newest, or -1.
 	configConfirmedAt atomic.Int64
 	// storeLostAt is when the store stopped answering this host, or 0.
-	storeLostAt    atomic.Int64
+	storeLostAt atomic.Int64
+	// inOutage is set from the time at which the host receives no updates until the next
+	// list of the servers.
+	inOutage       atomic.Bool
 	leaving        atomic.Bool
 	reportSequence atomic.Uint64
 	// serversListed, evacuationsListed and hostsListed report whether the list was
@@ -268,6 +271,7 @@
 	now := h.cfg.Clock.Now()
 	if !h.receivesUpdates() {
 		h.registrar.StartOutage(clock.Millis(h.configConfirmedAt.Load()))
+		h.inOutage.Store(true)
 	}
 	h.serversChanged = h.registrar.Expire(now) || h.serversChanged
 	h.publishChanges()
@@ -311,9 +315,10 @@
 }
 
 // isUpToDate reports whether the host receives changes and lacks none that another host
-// has known for some time.
+// has known for some time. After an outage it also needs a list of the servers, because
+// entries that lapsed can't be told from servers that left.
 func (h *Host) isUpToDate() bool {
-	return h.receivesUpdates() && len(h.relayer.LaggingKinds(h.cfg.Clock.Now())) == 0
+	return h.receivesUpdates() && !h.inOutage.Load() && len(h.relayer.LaggingKinds(h.cfg.Clock.Now())) == 0
 }
 
 // Ready reports whether callers should use this host. One that receives no updates
