steerer: read the rate limit that servers name in their responses

Nothing outside generated code read the header, and nothing logged what a server says, so that logs could not tell hosts that don't know a limit from hosts that each keep to it. The header is read into a typed notice, kept by the balancer and logged when it changes. Unreadable values change nothing. No decision uses it yet.

--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -51,6 +51,8 @@
 	recentObjects map[uint64]objectUse
 	cachedHash    uint64
 	score         float64
+	// direct is the last notice that this host has received from the server.
+	direct observation
 }
 
 func newServer() *server {
@@ -153,15 +155,21 @@
 	Result    Result
 	// Duration is the time from sending the request to the end of the attempt.
 	Duration clock.Millis
+	// Notice is what the server said about itself, nil if it is not known.
+	Notice *Notice
 }
 
-// FinishAttempt records how an attempt ended.
-func (b *Balancer) FinishAttempt(a Attempt, now clock.Millis) {
+// FinishAttempt records how an attempt ended. It reports whether the server's notice has
+// changed.
+func (b *Balancer) FinishAttempt(a Attempt, now clock.Millis) (noticeChanged bool) {
 	s := b.servers[a.Choice.Server.ID]
 	if s == nil {
-		return
+		return false
 	}
 	s.localInFlight = max(0, s.localInFlight-1)
+	if a.Notice != nil {
+		noticeChanged = s.recordNotice(*a.Notice, now)
+	}
 	switch a.Result {
 	case Answered:
 		s.failureRatio *= 1 - failureWeight
@@ -181,6 +189,7 @@
 	if s.failureRatio > ejectionFailureRatio && b.mayEject(s, now) {
 		s.ejectedUntil, s.failureRatio = now+ejectionDuration, ejectionFailureRatio/2
 	}
+	return noticeChanged
 }
 
 // mayEject reports whether a server may be taken out of use. At least half of a
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -351,10 +351,10 @@
 	return c, knownWarm
 }
 
-func (h *Host) finishAttempt(x balancer.Attempt) {
+func (h *Host) finishAttempt(x balancer.Attempt) (noticeChanged bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.balancer.FinishAttempt(x, h.cfg.Clock.Now())
+	return h.balancer.FinishAttempt(x, h.cfg.Clock.Now())
 }
 
 func (h *Host) countRequest(service string) {
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -63,6 +63,8 @@
 	// RemainingColdTime is the time for which a server stays cold, in milliseconds, in
 	// a health check response.
 	RemainingColdTime string
+	// RateLimit is the number of requests per second that a server takes from all hosts.
+	RateLimit string
 }
 
 // Config configures a steerer. All fields are required.
@@ -78,9 +80,9 @@
 	// ChooseServer picks a server and counts the request as in flight there. knownWarm
 	// means that the server is known to be warm for the object.
 	ChooseServer func(req balancer.Request) (c balancer.Choice, knownWarm bool)
-	// RecordAttempt records how an attempt ended. It is called once for each choice
-	// that is not a refusal.
-	RecordAttempt func(a balancer.Attempt)
+	// RecordAttempt records how an attempt ended, and reports whether the server's notice
+	// has changed. It is called once for each choice that is not a refusal.
+	RecordAttempt func(a balancer.Attempt) (noticeChanged bool)
 	// CountRequest counts a request for a service.
 	CountRequest func(service string)
 	// AllowRetry takes one retry from a service's budget.
@@ -181,7 +183,7 @@
 		return
 	}
 	if c.inFlight {
-		s.recordAttempt(c, balancer.Abandoned, 0)
+		s.recordAttempt(c, balancer.Attempt{Result: balancer.Abandoned})
 	}
 	s.cfg.Meter.Add("panics", 1)
 	s.cfg.Log.Error().Str("request", c.id).Any("cause", cause).Bytes("stack", debug.Stack()).Msg("request_panicked")
@@ -336,7 +338,7 @@
 		attemptStart := s.cfg.Clock.Now()
 		resp, err := s.cfg.Send(ctx, courier.Target{ID: c.choice.Server.ID, Address: c.choice.Server.Address}, s.backendRequest(c))
 		result := s.classifyAttempt(ctx, resp, err)
-		s.recordAttempt(c, result, s.cfg.Clock.Now()-attemptStart)
+		s.recordAttempt(c, balancer.Attempt{Result: result, Duration: s.cfg.Clock.Now() - attemptStart, Notice: s.notice(c, result, resp)})
 		c.attemptedServers = append(c.attemptedServers, c.choice.Server.ID)
 		if !errors.Is(err, courier.ErrNotSent) {
 			c.sentAttempts++
@@ -382,9 +384,12 @@
 }
 
 // recordAttempt reports to the balancer how the attempt at the chosen server ended.
-func (s *Steerer) recordAttempt(c *call, result balancer.Result, duration clock.Millis) {
+func (s *Steerer) recordAttempt(c *call, a balancer.Attempt) {
 	c.inFlight = false
-	s.cfg.RecordAttempt(balancer.Attempt{Choice: c.choice, Class: c.route.Name, KnownWarm: c.knownWarm, Result: result, Duration: duration})
+	a.Choice, a.Class, a.KnownWarm = c.choice, c.route.Name, c.knownWarm
+	if s.cfg.RecordAttempt(a) {
+		s.logNotice(c, a.Notice)
+	}
 }
 
 // chooseServer asks the balancer for a server.
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -23,7 +23,7 @@
 
 var headers = Headers{
 	RequestID: "Id", Deadline: "Deadline", Object: "Object", Key: "Key", Workspace: "Workspace",
-	ExpectedServer: "Expected", NotExecuted: "Not-Executed",
+	ExpectedServer: "Expected", NotExecuted: "Not-Executed", RateLimit: "Limit",
 }
 
 // fixture is a steerer whose dependencies are all fakes.
@@ -83,9 +83,12 @@
 			}
 			return balancer.Choice{Server: balancer.Server{ID: fmt.Sprintf("s%d", len(req.AttemptedServers)), Address: "x"}}, false
 		},
-		RecordAttempt: func(a balancer.Attempt) { f.finishedAttempts = append(f.finishedAttempts, a) },
-		CountRequest:  func(string) {},
-		AllowRetry:    func(string) bool { f.retryBudget--; return f.retryBudget >= 0 },
+		RecordAttempt: func(a balancer.Attempt) bool {
+			f.finishedAttempts = append(f.finishedAttempts, a)
+			return a.Notice != nil && a.Notice.Limited
+		},
+		CountRequest: func(string) {},
+		AllowRetry:   func(string) bool { f.retryBudget--; return f.retryBudget >= 0 },
 		Send: func(_ context.Context, target courier.Target, req *courier.Request) (*courier.Response, error) {
 			n := len(f.attemptedServers)
 			f.attemptedServers = append(f.attemptedServers, target.ID)
