balancer: send nothing to a server that says that it leaves

Change: the notice of a server holds its leaving next to its rate limit. It is kept by ID and start, is known to all hosts by their reports, outlives an evacuation or an outage of the store, and ends only with the server's next start. A value other than 1 is logged and ignored. Health checks of such a server stop.

Ruled out: to end it with a response that does not say so; responses to earlier requests arrive after the first notice.

TestServerThatLeaves covers later responses, evacuations, restarts, stale reports of an earlier run and peers.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -134,13 +134,15 @@
 
 // Balancer tracks the load of the backend servers as one host sees it.
 type Balancer struct {
-	cfg       Config
-	servers   map[string]*server
-	pools     map[string]*pool
-	classes   map[string]*class
-	reports   map[string]LoadReport
-	rtts      map[string]float64
-	demands   map[string]*rate
+	cfg     Config
+	servers map[string]*server
+	pools   map[string]*pool
+	classes map[string]*class
+	reports map[string]LoadReport
+	rtts    map[string]float64
+	demands map[string]*rate
+	// notices is kept by server ID.
+	notices   map[string]*notices
 	liveHosts LiveHosts
 	// hostCount is the number of hosts among which rate limits are divided: the largest
 	// number of live hosts in a recent period, and hostCountAt the last time at which it was.
@@ -170,7 +172,7 @@
 	return &Balancer{
 		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool),
 		classes: make(map[string]*class), reports: make(map[string]LoadReport), rtts: make(map[string]float64),
-		demands: make(map[string]*rate), liveHosts: LiveHosts{ByRegion: map[string]int{cfg.Region: 1}},
+		demands: make(map[string]*rate), notices: make(map[string]*notices), liveHosts: LiveHosts{ByRegion: map[string]int{cfg.Region: 1}},
 	}
 }
 
@@ -184,10 +186,7 @@
 		if s == nil || s.Address != info.Address || s.Service != info.Service {
 			s = newServer()
 		}
-		if s.StartUnixMs != info.StartUnixMs {
-			s.notices = notices{}
-		}
-		s.Server, s.remoteInFlight = info, 0
+		s.Server, s.remoteInFlight, s.notices = info, 0, b.noticesOf(info)
 		servers[info.ID] = s
 		p := pools[info.Service]
 		if p == nil {
@@ -317,6 +316,7 @@
 		s.recover(elapsed)
 	}
 	b.purgePlacements(now)
+	b.purgeNotices(now)
 }
 
 // CountRequest adds a request to the demand for a service.
--- a/pkg/balancer/notice.go
+++ b/pkg/balancer/notice.go
@@ -28,37 +28,57 @@
 	// hostCountHold is the time for which hosts that are no longer live still count for
 	// the shares of a limit. They may be partitioned and still send.
 	hostCountHold = 10 * clock.Second
+	// noticeRetention is the time for which the notices of a server that is not in use are
+	// kept. It is longer than an evacuation or an outage of the store.
+	noticeRetention = 600 * clock.Second
 )
 
 // Notice is what a backend server says about itself in a response.
 type Notice struct {
-	// Limited is set if the server names a rate limit: the number of requests per second
-	// that it takes from all hosts together, for as long as it says so.
+	// Leaving is set if the server is about to stop and wants no more requests.
+	Leaving bool
+	Limit   RateLimit
+}
+
+// RateLimit is what a response says about a rate limit of its server.
+type RateLimit struct {
+	// Known is set if the response shows whether there is a limit.
+	Known bool
+	// Limited is set if the server names a limit: PerSecond requests per second from all
+	// hosts together, for as long as it says so.
 	Limited   bool
-	RateLimit float64
+	PerSecond float64
 }
 
 // ServerNotice is a notice that a host reports to another.
 type ServerNotice struct {
 	Server string
+	// StartUnixMs is the time of the server's start; a notice does not hold after a restart.
+	StartUnixMs int64
 	Notice
-	// Age is the time since the response with the notice.
+	// Age is the time since the response with the limit.
 	Age clock.Millis
 }
 
-// observation is a notice of a server and the time of the response with it.
+// observation is a rate limit and the time of the response with it.
 type observation struct {
-	Notice
+	RateLimit
 	at clock.Millis
 }
 
-// notices is what a host knows of the notices of one server.
+// notices is what a host knows of the notices of one run of a server.
 type notices struct {
-	// direct is the last one that this host has received itself, and latest the last one
+	startUnixMs int64
+	// usedAt is the last time at which the server was among those that may get requests.
+	usedAt clock.Millis
+	// leaving is set once the server has said that it leaves. It stays set: responses that
+	// do not say so may have been under way.
+	leaving bool
+	// direct is the last limit that this host has received itself, and latest the last one
 	// that any host has.
 	direct, latest observation
-	// announcedAt is the time from which direct is reported to other hosts, and heardAt
-	// the time at which any host last reported the notice.
+	// announcedAt is the time from which the notices are reported to other hosts, and
+	// heardAt the time at which any host last reported the limit.
 	announcedAt, heardAt clock.Millis
 	// tokens are the requests that this host may send now under a rate limit.
 	tokens   float64
@@ -68,10 +88,14 @@
 // record records a notice in a response and reports whether this host's knowledge of the
 // server has changed.
 func (k *notices) record(n Notice, now clock.Millis) (changed bool) {
-	changed = k.latest.Notice != n
-	k.direct = observation{n, now}
-	k.update(k.direct)
-	if changed || n.Limited && now-k.heardAt >= noticeInterval {
+	changed = n.Leaving && !k.leaving
+	k.leaving = k.leaving || n.Leaving
+	if n.Limit.Known {
+		changed = changed || k.latest.RateLimit != n.Limit && (n.Limit.Limited || k.latest.Limited)
+		k.direct = observation{n.Limit, now}
+		k.update(k.direct)
+	}
+	if changed || n.Limit.Limited && now-k.heardAt >= noticeInterval {
 		k.announcedAt, k.heardAt = now, now
 	}
 	return changed
@@ -88,12 +112,36 @@
 	k.latest = o
 }
 
-// NoticesSince returns the notices that this host has announced after a point in time.
+// noticesOf returns the notices of a server. They are kept for noticeRetention while the
+// server is not in use, as in an evacuation of its zone.
+func (b *Balancer) noticesOf(info Server) *notices {
+	k := b.notices[info.ID]
+	if k == nil || k.startUnixMs != info.StartUnixMs {
+		k = &notices{startUnixMs: info.StartUnixMs}
+		b.notices[info.ID] = k
+	}
+	return k
+}
+
+// purgeNotices forgets the notices of servers that have been out of use for long.
+func (b *Balancer) purgeNotices(now clock.Millis) {
+	for id, k := range b.notices {
+		if b.servers[id] != nil {
+			k.usedAt = now
+		} else if now-k.usedAt > noticeRetention {
+			delete(b.notices, id)
+		}
+	}
+}
+
+// NoticesSince returns the notices that this host has announced since a point in time.
 func (b *Balancer) NoticesSince(since, now clock.Millis) []ServerNotice {
 	var out []ServerNotice
-	for id, s := range b.servers {
-		if k := &s.notices; k.announcedAt > 0 && k.announcedAt >= since {
-			out = append(out, ServerNotice{Server: id, Notice: k.direct.Notice, Age: now - k.direct.at})
+	for id, k := range b.notices {
+		if k.announcedAt > 0 && k.announcedAt >= since {
+			out = append(out, ServerNotice{
+				Server: id, StartUnixMs: k.startUnixMs, Notice: Notice{Leaving: k.leaving, Limit: k.direct.RateLimit}, Age: now - k.direct.at,
+			})
 		}
 	}
 	return out
@@ -102,9 +150,14 @@
 // ApplyNotices applies the notices in the report of another host.
 func (b *Balancer) ApplyNotices(list []ServerNotice, now clock.Millis) {
 	for _, n := range list {
-		if s := b.servers[n.Server]; s != nil {
-			s.notices.update(observation{n.Notice, now - n.Age})
-			s.notices.heardAt = now
+		k := b.notices[n.Server]
+		if k == nil || k.startUnixMs != n.StartUnixMs {
+			continue
+		}
+		k.leaving = k.leaving || n.Leaving
+		if n.Limit.Known {
+			k.update(observation{n.Limit, now - n.Age})
+			k.heardAt = now
 		}
 	}
 }
@@ -119,7 +172,7 @@
 // limitShare returns the number of requests per second that this host may send to a
 // server with a rate limit, 0 if that is left to others.
 func (b *Balancer) limitShare(s *server) float64 {
-	limit := math.Max(s.notices.latest.RateLimit, minRateLimit)
+	limit := math.Max(s.notices.latest.PerSecond, minRateLimit)
 	total := max(b.hostCount, b.liveHosts.total())
 	senders := total
 	if limit < float64(total-minLimitSenders) {
@@ -139,7 +192,7 @@
 
 // isWithinRateLimit reports whether this host may send a request to a server now.
 func (s *server) isWithinRateLimit(b *Balancer, now clock.Millis) bool {
-	k := &s.notices
+	k := s.notices
 	if !k.latest.Limited {
 		return true
 	}
@@ -164,7 +217,7 @@
 		}
 		needed, rate := 1-s.notices.tokens, b.limitShare(s)
 		if rate == 0 {
-			needed, rate = 1, math.Max(s.notices.latest.RateLimit, minRateLimit)
+			needed, rate = 1, math.Max(s.notices.latest.PerSecond, minRateLimit)
 		}
 		delay = math.Min(delay, 1000*needed/rate)
 	}
--- a/pkg/balancer/notice_test.go
+++ b/pkg/balancer/notice_test.go
@@ -123,7 +123,7 @@
 			f.told[key] = f.now
 		}
 		b.FinishAttempt(Attempt{
-			Choice: c, Class: "look", Result: Answered, Duration: f.now - sentAt, Notice: &Notice{Limited: limited, RateLimit: limit},
+			Choice: c, Class: "look", Result: Answered, Duration: f.now - sentAt, Notice: &Notice{Limit: RateLimit{Known: true, Limited: limited, PerSecond: limit}},
 		}, f.now)
 	})
 }
@@ -236,7 +236,7 @@
 func TestRefusalByServerLimit(t *testing.T) {
 	withBalancer("n", makeServers("n", 2, 4), func(b *Balancer) {
 		for _, s := range b.servers {
-			s.notices.record(Notice{Limited: true, RateLimit: 1}, 1000)
+			s.notices.record(Notice{Limit: RateLimit{Known: true, Limited: true, PerSecond: 1}}, 1000)
 		}
 		c := b.Choose(request("x"), 1500)
 		if !c.Refused || c.Reason != ReasonLimited {
@@ -255,7 +255,7 @@
 func TestServerLimitEndsWithRestart(t *testing.T) {
 	list := makeServers("n", 1, 4)
 	withBalancer("n", list, func(b *Balancer) {
-		b.servers[list[0].ID].notices.record(Notice{Limited: true}, 1000)
+		b.servers[list[0].ID].notices.record(Notice{Limit: RateLimit{Known: true, Limited: true}}, 1000)
 		b.SetServers(list)
 		if c := b.Choose(request("x"), 1000); !c.Refused {
 			t.Error("not refused although the same server is limited")
@@ -267,3 +267,70 @@
 		}
 	})
 }
+
+// A server that has said that it leaves gets no request, whatever else is heard of it, until
+// it has started again.
+func TestServerThatLeaves(t *testing.T) {
+	leaving := Notice{Leaving: true}
+	assertChosen := func(t *testing.T, step string, b *Balancer, want bool) {
+		t.Helper()
+		if c := b.Choose(request("x"), 3000); c.Refused == want {
+			t.Errorf("%s: got %+v, want a server: %v", step, c, want)
+		}
+	}
+	withLeaving := func(test func(b *Balancer, list []Server)) {
+		list := makeServers("n", 1, 4)
+		list[0].StartUnixMs = 5
+		withBalancer("n", list, func(b *Balancer) {
+			if !b.servers["n0"].notices.record(leaving, 1000) {
+				t.Error("the notice does not count as a change")
+			}
+			test(b, list)
+		})
+	}
+	t.Run("a later response does not say so", func(t *testing.T) {
+		withLeaving(func(b *Balancer, _ []Server) {
+			b.servers["n0"].notices.record(Notice{Limit: RateLimit{Known: true}}, 2000)
+			assertChosen(t, "after the response", b, false)
+		})
+	})
+	t.Run("its zone is evacuated and taken back", func(t *testing.T) {
+		withLeaving(func(b *Balancer, list []Server) {
+			b.SetServers(nil)
+			b.Tick(2000)
+			b.SetServers(list)
+			assertChosen(t, "after the evacuation", b, false)
+		})
+	})
+	t.Run("it starts again", func(t *testing.T) {
+		withLeaving(func(b *Balancer, list []Server) {
+			stale := b.NoticesSince(0, 2000)
+			list[0].StartUnixMs = 6
+			b.SetServers(list)
+			assertChosen(t, "after the start", b, true)
+			b.ApplyNotices(stale, 2500)
+			assertChosen(t, "after a report on the earlier run", b, true)
+		})
+	})
+	t.Run("another host has heard it", func(t *testing.T) {
+		withLeaving(func(b *Balancer, list []Server) {
+			withBalancer("e", list, func(other *Balancer) {
+				assertChosen(t, "before the report", other, true)
+				other.ApplyNotices(b.NoticesSince(1000, 1500), 1500)
+				assertChosen(t, "after the report", other, false)
+			})
+		})
+	})
+	t.Run("others are left", func(t *testing.T) {
+		withBalancer("n", makeServers("n", 4, 4), func(b *Balancer) {
+			for _, id := range []string{"n0", "n1", "n2"} {
+				b.servers[id].notices.record(leaving, 1000)
+			}
+			for i := range 3 {
+				if c := b.Choose(request(fmt.Sprint(i)), 2000); c.Server.ID != "n3" {
+					t.Errorf("got %+v, want server n3", c)
+				}
+			}
+		})
+	})
+}
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -51,7 +51,7 @@
 	recentObjects map[uint64]objectUse
 	cachedHash    uint64
 	score         float64
-	notices       notices
+	notices       *notices
 }
 
 func newServer() *server {
@@ -66,7 +66,7 @@
 }
 
 func (s *server) isUnavailable(now clock.Millis) bool {
-	return s.unreachable || now < s.ejectedUntil
+	return s.unreachable || s.notices.leaving || now < s.ejectedUntil
 }
 
 func (s *server) isCold(now clock.Millis) bool { return now < s.ColdUntil }
@@ -251,7 +251,7 @@
 func (b *Balancer) UnreachableServers() []Server {
 	var out []Server
 	for _, s := range b.servers {
-		if s.unreachable {
+		if s.unreachable && !s.notices.leaving {
 			out = append(out, s.Server)
 		}
 	}
--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -72,7 +72,8 @@
 	var out []*schema.ServerNotice
 	for _, n := range list {
 		out = append(out, &schema.ServerNotice{
-			ServerHash: xxhash.Sum64String(n.Server), AgeMs: uint32(max(0, n.Age)), Limited: n.Limited, RateLimit: n.RateLimit,
+			ServerHash: xxhash.Sum64String(n.Server), StartUnixMs: n.StartUnixMs, Leaving: n.Leaving, LimitKnown: n.Limit.Known,
+			LimitAgeMs: uint32(max(0, n.Age)), Limited: n.Limit.Limited, RateLimit: n.Limit.PerSecond,
 		})
 	}
 	return out
@@ -88,7 +89,10 @@
 			continue
 		}
 		out = append(out, balancer.ServerNotice{
-			Server: id, Age: clock.Millis(n.GetAgeMs()), Notice: balancer.Notice{Limited: n.GetLimited(), RateLimit: limit},
+			Server: id, StartUnixMs: n.GetStartUnixMs(), Age: clock.Millis(n.GetLimitAgeMs()),
+			Notice: balancer.Notice{
+				Leaving: n.GetLeaving(), Limit: balancer.RateLimit{Known: n.GetLimitKnown(), Limited: n.GetLimited(), PerSecond: limit},
+			},
 		})
 	}
 	return out
--- a/pkg/hoster/notice_test.go
+++ b/pkg/hoster/notice_test.go
@@ -32,10 +32,10 @@
 		}
 		assertLimited("at the start", false)
 		n.clock.Advance(100)
-		attempt(h["a1"], balancer.Notice{Limited: true, RateLimit: 1})
+		attempt(h["a1"], balancer.Notice{Limit: balancer.RateLimit{Known: true, Limited: true, PerSecond: 1}})
 		assertLimited("after a limit", true)
 		n.clock.Advance(5000)
-		attempt(h["a1"], balancer.Notice{})
+		attempt(h["a1"], balancer.Notice{Limit: balancer.RateLimit{Known: true}})
 		assertLimited("after its end", false)
 	})
 }
--- a/pkg/steerer/notice_test.go
+++ b/pkg/steerer/notice_test.go
@@ -24,39 +24,63 @@
 		{[]string{"4, 6"}, 4, true},
 		{[]string{"1e9"}, 1e9, true},
 	} {
-		limit, limited, err := parseRateLimit(c.values)
-		if limit != c.limit || limited != c.limited || err != nil {
-			t.Errorf("%q: got %v, %v, %v; want %v, %v", c.values, limit, limited, err, c.limit, c.limited)
+		want := balancer.RateLimit{Known: true, Limited: c.limited, PerSecond: c.limit}
+		if got, err := parseRateLimit(c.values); got != want || err != nil {
+			t.Errorf("%q: got %+v, %v; want %+v", c.values, got, err, want)
 		}
 	}
 	for _, value := range []string{"", "-1", "NaN", "inf", "-0.5", "many", "0x10", "Fri, 04 Dec 2026 20:00:00 GMT", "3,", "1e999"} {
-		if _, _, err := parseRateLimit([]string{value}); !errors.Is(err, errRateLimit) {
+		if _, err := parseRateLimit([]string{value}); !errors.Is(err, errRateLimit) {
 			t.Errorf("%q: error %v, want errRateLimit", value, err)
 		}
 	}
 }
 
+// A value that does not say clearly that the server leaves must not take it out of use.
+func TestParseLeaving(t *testing.T) {
+	for _, values := range [][]string{{"1"}, {" 1 "}, {"0", "1"}} {
+		if leaving, err := parseLeaving(values); !leaving || err != nil {
+			t.Errorf("%q: got %v, %v; want true", values, leaving, err)
+		}
+	}
+	for _, value := range []string{"", "0", "-1", "11", "true", "soon", "NaN"} {
+		if leaving, err := parseLeaving([]string{value}); leaving || !errors.Is(err, errLeaving) {
+			t.Errorf("%q: got %v, %v; want errLeaving", value, leaving, err)
+		}
+	}
+	if leaving, err := parseLeaving(nil); leaving || err != nil {
+		t.Errorf("no header: got %v, %v", leaving, err)
+	}
+}
+
 // The balancer must learn what a server says, and only from responses that show it.
 func TestNoticeOfResponse(t *testing.T) {
-	limited := func(status int, value string, shed bool) *courier.Response {
-		h := http.Header{headers.RateLimit: {value}}
-		if shed {
-			h.Set(headers.NotExecuted, "1")
+	respond := func(status int, header ...string) *courier.Response {
+		h := http.Header{}
+		for i := 0; i < len(header); i += 2 {
+			h.Set(header[i], header[i+1])
 		}
 		return &courier.Response{Status: status, Header: h, Body: []byte("x"), ContentLength: 1}
 	}
-	none := &balancer.Notice{}
+	limit := func(perSecond float64) balancer.RateLimit {
+		return balancer.RateLimit{Known: true, Limited: true, PerSecond: perSecond}
+	}
+	noLimit := balancer.RateLimit{Known: true}
 	for name, c := range map[string]struct {
 		resp *courier.Response
 		want *balancer.Notice
 	}{
-		"a response with a limit":                     {limited(200, "3.7", false), &balancer.Notice{Limited: true, RateLimit: 3.7}},
-		"a response without one":                      {okResponse("ok"), none},
-		"a refusal with a limit":                      {limited(503, "2", true), &balancer.Notice{Limited: true, RateLimit: 2}},
-		"a refusal without one":                       {errorResponse(503, headers.NotExecuted), nil},
-		"a failure without one":                       {errorResponse(500, "X"), nil},
-		"a response with an unreadable limit":         {limited(200, "soon", false), nil},
-		"a response of another server at the address": {limited(421, "1", true), nil},
+		"nothing said":                    {okResponse("ok"), &balancer.Notice{Limit: noLimit}},
+		"a limit":                         {respond(200, headers.RateLimit, "3.7"), &balancer.Notice{Limit: limit(3.7)}},
+		"a refusal with a limit":          {respond(503, headers.RateLimit, "2", headers.NotExecuted, "1"), &balancer.Notice{Limit: limit(2)}},
+		"a refusal without one":           {respond(503, headers.NotExecuted, "1"), &balancer.Notice{}},
+		"a failure without one":           {respond(500), &balancer.Notice{}},
+		"an unreadable limit":             {respond(200, headers.RateLimit, "soon"), &balancer.Notice{}},
+		"a server that leaves":            {respond(200, headers.Leaving, "1"), &balancer.Notice{Leaving: true, Limit: noLimit}},
+		"a failing server that leaves":    {respond(500, headers.Leaving, "1"), &balancer.Notice{Leaving: true}},
+		"an unreadable leaving header":    {respond(200, headers.Leaving, "2"), &balancer.Notice{Limit: noLimit}},
+		"another server at the address":   {respond(421, headers.RateLimit, "1", headers.Leaving, "1"), nil},
+		"unreadable limit, but it leaves": {respond(200, headers.RateLimit, "-1", headers.Leaving, "1"), &balancer.Notice{Leaving: true}},
 	} {
 		withSteerer(t, func(f *fixture) {
 			f.respond = func(int) (*courier.Response, error) { return c.resp, nil }
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -23,7 +23,7 @@
 
 var headers = Headers{
 	RequestID: "Id", Deadline: "Deadline", Object: "Object", Key: "Key", Workspace: "Workspace",
-	ExpectedServer: "Expected", NotExecuted: "Not-Executed", RateLimit: "Limit",
+	ExpectedServer: "Expected", NotExecuted: "Not-Executed", RateLimit: "Limit", Leaving: "Leaving",
 }
 
 // fixture is a steerer whose dependencies are all fakes.
@@ -85,7 +85,7 @@
 		},
 		RecordAttempt: func(a balancer.Attempt) bool {
 			f.finishedAttempts = append(f.finishedAttempts, a)
-			return a.Notice != nil && a.Notice.Limited
+			return a.Notice != nil && a.Notice.Limit.Limited
 		},
 		CountRequest: func(string) {},
 		AllowRetry:   func(string) bool { f.retryBudget--; return f.retryBudget >= 0 },
