balancer: send nothing to a server for the time of its Retry-After

Change: the notice of a server holds the time for which it wants no requests. The host sends none until then, and afterwards one at a time until the server has answered one. Neither a response to an earlier request nor a new list of servers ends it, the longest of several times counts, and one response counts for at most 5 minutes. If no other server is left, the caller is refused at once with the time until the first one takes requests again. Other hosts are not told: the time is for this host. A date is not read.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 
 	"catkindyke/pkg/clock"
 )
@@ -16,6 +17,8 @@
 	ReasonCold     = "cold"
 	// ReasonLimited means that the servers have named rate limits that are used up.
 	ReasonLimited = "limited"
+	// ReasonBackoff means that the servers have said that they want no requests for a time.
+	ReasonBackoff = "backoff"
 )
 
 const (
@@ -270,8 +273,9 @@
 	seed := b.rankingSeed(req)
 	ranked := p.rankServers(seed, req.AllowedRegions)
 	best, home, reason := b.bestServer(p, ranked, req, seed, c, now)
-	if best == nil && reason == ReasonLimited {
-		return Choice{Refused: true, Reason: reason, RetryAfter: clampRetryAfter(b.limitDelay(ranked, req, now) * b.retryJitterFactor())}
+	if best == nil && (reason == ReasonLimited || reason == ReasonBackoff) {
+		delay := b.noticeDelay(ranked, req, now) + float64(minRetryAfter)*b.retryJitterFactor()
+		return Choice{Refused: true, Reason: reason, RetryAfter: clock.Millis(math.Ceil(delay))}
 	}
 	if best == nil {
 		return Choice{Refused: true, Reason: reason, RetryAfter: clampRetryAfter(c.warmServiceTime)}
--- a/pkg/balancer/candidate.go
+++ b/pkg/balancer/candidate.go
@@ -54,6 +54,10 @@
 		if slices.Contains(req.AttemptedServers, s.ID) || s.isUnavailable(now) {
 			continue
 		}
+		if s.isBackingOff(now) {
+			reason = ReasonBackoff
+			continue
+		}
 		if !s.isWithinRateLimit(b, now) {
 			reason = ReasonLimited
 			continue
--- a/pkg/balancer/notice.go
+++ b/pkg/balancer/notice.go
@@ -28,6 +28,8 @@
 	// hostCountHold is the time for which hosts that are no longer live still count for
 	// the shares of a limit. They may be partitioned and still send.
 	hostCountHold = 10 * clock.Second
+	// maxBackoff bounds the time for which a server gets no requests because of one response.
+	maxBackoff = 300 * clock.Second
 	// noticeRetention is the time for which the notices of a server that is not in use are
 	// kept. It is longer than an evacuation or an outage of the store.
 	noticeRetention = 600 * clock.Second
@@ -37,6 +39,9 @@
 type Notice struct {
 	// Leaving is set if the server is about to stop and wants no more requests.
 	Leaving bool
+	// Backoff is the time for which the server wants no requests from this host, 0 if it
+	// does not say so.
+	Backoff clock.Millis
 	Limit   RateLimit
 }
 
@@ -74,6 +79,10 @@
 	// leaving is set once the server has said that it leaves. It stays set: responses that
 	// do not say so may have been under way.
 	leaving bool
+	// backoffUntil is the time until which the server wants no requests from this host.
+	// isTested is set until it has answered a request after that.
+	backoffUntil clock.Millis
+	isTested     bool
 	// direct is the last limit that this host has received itself, and latest the last one
 	// that any host has.
 	direct, latest observation
@@ -98,9 +107,26 @@
 	if changed || n.Limit.Limited && now-k.heardAt >= noticeInterval {
 		k.announcedAt, k.heardAt = now, now
 	}
+	if n.Backoff > 0 {
+		changed = changed || now >= k.backoffUntil
+		k.backoffUntil, k.isTested = max(k.backoffUntil, now+min(n.Backoff, maxBackoff)), true
+	}
 	return changed
 }
 
+// recordAnswer records that the server has answered a request.
+func (k *notices) recordAnswer(now clock.Millis) {
+	if now >= k.backoffUntil {
+		k.isTested = false
+	}
+}
+
+// isBackingOff reports whether the server wants no requests from this host, or has just one
+// that shows whether it takes requests again.
+func (s *server) isBackingOff(now clock.Millis) bool {
+	return now < s.notices.backoffUntil || s.notices.isTested && s.localInFlight > 0
+}
+
 // update replaces the latest observation by a later one.
 func (k *notices) update(o observation) {
 	if o.at < k.latest.at {
@@ -207,19 +233,25 @@
 	return k.tokens >= 1
 }
 
-// limitDelay returns the time in ms until a server with a rate limit takes a request
-// again. It is an estimate if that is left to other hosts.
-func (b *Balancer) limitDelay(ranked []*server, req Request, now clock.Millis) float64 {
-	delay := float64(maxRetryAfter)
+// noticeDelay returns the time in ms until a server that backs off or has a rate limit takes
+// a request again. For a limit of which other hosts have all parts it is an estimate.
+func (b *Balancer) noticeDelay(ranked []*server, req Request, now clock.Millis) float64 {
+	delay := math.Inf(1)
 	for _, s := range ranked {
-		if !s.notices.latest.Limited || s.isUnavailable(now) || slices.Contains(req.AttemptedServers, s.ID) {
+		k := s.notices
+		if s.isUnavailable(now) || slices.Contains(req.AttemptedServers, s.ID) {
+			continue
+		}
+		backoff := math.Max(float64(k.backoffUntil-now), 0)
+		if !k.latest.Limited {
+			delay = math.Min(delay, backoff)
 			continue
 		}
-		needed, rate := 1-s.notices.tokens, b.limitShare(s)
+		needed, rate := 1-k.tokens, b.limitShare(s)
 		if rate == 0 {
-			needed, rate = 1, math.Max(s.notices.latest.PerSecond, minRateLimit)
+			needed, rate = 1, math.Max(k.latest.PerSecond, minRateLimit)
 		}
-		delay = math.Min(delay, 1000*needed/rate)
+		delay = math.Min(delay, math.Max(backoff, 1000*needed/rate))
 	}
-	return delay
+	return math.Min(delay, float64(maxBackoff))
 }
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -175,6 +175,7 @@
 	switch a.Result {
 	case Answered:
 		s.failureRatio *= 1 - failureWeight
+		s.notices.recordAnswer(now)
 		b.updateServiceTimes(s, a, now)
 	case Failed:
 		s.failureRatio += failureWeight * (1 - s.failureRatio)
@@ -248,10 +249,10 @@
 
 // UnreachableServers returns the servers that need a health check before they get
 // requests again.
-func (b *Balancer) UnreachableServers() []Server {
+func (b *Balancer) UnreachableServers(now clock.Millis) []Server {
 	var out []Server
 	for _, s := range b.servers {
-		if s.unreachable && !s.notices.leaving {
+		if s.unreachable && !s.notices.leaving && now >= s.notices.backoffUntil {
 			out = append(out, s.Server)
 		}
 	}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -279,7 +279,7 @@
 	h.balancer.Tick(now)
 	h.balancer.SetLiveHosts(h.fleet.liveHosts(now))
 	h.rationer.ExpireHosts(now)
-	unreachable := h.balancer.UnreachableServers()
+	unreachable := h.balancer.UnreachableServers(now)
 	h.mu.Unlock()
 	for _, s := range unreachable {
 		h.startProbe(s)
--- a/pkg/steerer/notice_test.go
+++ b/pkg/steerer/notice_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 )
 
@@ -53,6 +54,25 @@
 	}
 }
 
+// An unreadable Retry-After must not take a server out of use, nor a long one for good.
+func TestParseBackoff(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		want   clock.Millis
+	}{
+		{nil, 0}, {[]string{"0"}, 0}, {[]string{"1.5"}, 1500}, {[]string{"1", "3"}, 3000}, {[]string{"31536000"}, 1000000000}, {[]string{"1e300"}, 1000000000},
+	} {
+		if got, err := parseBackoff(c.values); got != c.want || err != nil {
+			t.Errorf("%q: got %v, %v; want %v", c.values, got, err, c.want)
+		}
+	}
+	for _, value := range []string{"", "-1", "NaN", "inf", "soon", "Fri, 04 Dec 2026 20:00:00 GMT"} {
+		if got, err := parseBackoff([]string{value}); got != 0 || !errors.Is(err, errBackoff) {
+			t.Errorf("%q: got %v, %v; want errBackoff", value, got, err)
+		}
+	}
+}
+
 // The balancer must learn what a server says, and only from responses that show it.
 func TestNoticeOfResponse(t *testing.T) {
 	respond := func(status int, header ...string) *courier.Response {
@@ -79,6 +99,9 @@
 		"a server that leaves":            {respond(200, headers.Leaving, "1"), &balancer.Notice{Leaving: true, Limit: noLimit}},
 		"a failing server that leaves":    {respond(500, headers.Leaving, "1"), &balancer.Notice{Leaving: true}},
 		"an unreadable leaving header":    {respond(200, headers.Leaving, "2"), &balancer.Notice{Limit: noLimit}},
+		"a refusal with a delay":          {respond(503, "Retry-After", "1.5", headers.NotExecuted, "1"), &balancer.Notice{Backoff: 1500}},
+		"a delay without a refusal":       {respond(200, "Retry-After", "1.5"), &balancer.Notice{Limit: noLimit}},
+		"an unreadable delay":             {respond(503, "Retry-After", "Fri, 04 Dec 2026 20:00:00 GMT"), &balancer.Notice{}},
 		"another server at the address":   {respond(421, headers.RateLimit, "1", headers.Leaving, "1"), nil},
 		"unreadable limit, but it leaves": {respond(200, headers.RateLimit, "-1", headers.Leaving, "1"), &balancer.Notice{Leaving: true}},
 	} {
