balancer: drop what a host has saved of a limit that others keep

When hosts start or stop, others take over the parts of a server's rate limit. A host that had a part could still send the request that it had saved up, next to the new one's: around a hand-over both acted. With a limit near 0 that is more than the server's 5 requests in 4 s. The number of hosts with a part is 3 and one for each request per second, so that views that differ by two hosts stay within the rule.

Before: TestServerLimitHandedOver: 20 of 20 hosts may send at once. After: at most 5.

--- a/pkg/balancer/notice.go
+++ b/pkg/balancer/notice.go
@@ -14,7 +14,7 @@
 	// minLimitSenders is the number of hosts that send requests to a server with a limit
 	// of 0. There is one more for each request per second. Each may send one request at
 	// once, so that their number bounds what the server gets beyond its limit.
-	minLimitSenders = 4
+	minLimitSenders = 3
 	// localSenderFraction is the fraction of them that are in the server's region.
 	localSenderFraction = 0.75
 	// limitBurst is the time in s in which a host saves up its share of a limit.
@@ -228,6 +228,10 @@
 		return s.localInFlight == 0
 	}
 	share := b.limitShare(s)
+	if share == 0 {
+		k.tokens, k.tokensAt = 0, now
+		return false
+	}
 	k.tokens = math.Min(math.Max(1, share*limitBurst), k.tokens+share*float64(max(0, now-k.tokensAt))/1000)
 	k.tokensAt = now
 	return k.tokens >= 1
--- a/pkg/balancer/notice_test.go
+++ b/pkg/balancer/notice_test.go
@@ -468,3 +468,27 @@
 		})
 	})
 }
+
+// A host that has handed its part of a limit to others must not use what it has saved up.
+func TestServerLimitHandedOver(t *testing.T) {
+	withBalancer("n", makeServers("n", 1, 4), func(b *Balancer) {
+		s := b.servers["n0"]
+		s.notices.record(Notice{Limit: RateLimit{Known: true, Limited: true, PerSecond: 2}}, 1000)
+		senders := 0
+		for index := range 20 {
+			b.SetLiveHosts(LiveHosts{ByRegion: map[string]int{"n": 1}})
+			s.isWithinRateLimit(b, 1000)
+			if !s.isWithinRateLimit(b, 5000) {
+				t.Fatal("the only host may not send after 4 s")
+			}
+			b.SetLiveHosts(LiveHosts{ByRegion: map[string]int{"n": 20}, RegionIndex: index, FleetIndex: index})
+			if s.isWithinRateLimit(b, 5000) {
+				senders++
+			}
+			s.notices.tokens, s.notices.tokensAt = 0, 1000
+		}
+		if want := minLimitSenders + 2; senders > want {
+			t.Errorf("%d of 20 hosts may send at once, want at most %d", senders, want)
+		}
+	})
+}
