relayer: pass changes on to hosts with an earlier list of the same objects

At hosts that the store turns away after a common start of the fleet, the first configuration stayed in force: the host whose list is the oldest could not be helped by any other until it had seen a change of that kind.

Cause: a host with a later list does not know whether objects were deleted between the two, and passes nothing on.

Change: a report carries a fingerprint of the names and revisions of a list until the first change after it. If it is that of the own list, nothing has changed in between.

--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -128,7 +128,7 @@
 func encodeRevisions(list []relayer.Revision) []*schema.Revision {
 	out := make([]*schema.Revision, 0, len(list))
 	for _, r := range list {
-		out = append(out, &schema.Revision{Kind: r.Kind, Changed: r.LastChange, UpTo: r.UpTo})
+		out = append(out, &schema.Revision{Kind: r.Kind, Changed: r.LastChange, UpTo: r.UpTo, Fingerprint: r.Fingerprint})
 	}
 	return out
 }
@@ -136,7 +136,7 @@
 func decodeRevisions(list []*schema.Revision) []relayer.Revision {
 	out := make([]relayer.Revision, 0, len(list))
 	for _, r := range list {
-		out = append(out, relayer.Revision{Kind: r.GetKind(), LastChange: r.GetChanged(), UpTo: r.GetUpTo()})
+		out = append(out, relayer.Revision{Kind: r.GetKind(), LastChange: r.GetChanged(), UpTo: r.GetUpTo(), Fingerprint: r.GetFingerprint()})
 	}
 	return out
 }
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -16,9 +16,8 @@
 	SetConfig func(cfg cataloger.Config)
 	// ConfirmConfig records a time at which the host knew the newest configuration.
 	ConfirmConfig func(asOf clock.Millis)
-	// ListApplied records that all objects of a kind as of store revision upTo were
-	// passed on; changed is the highest revision among them.
-	ListApplied func(kind string, changed, upTo uint64)
+	// ListApplied records that all objects of a kind were passed on.
+	ListApplied func(l relayer.List)
 	// BatchApplied records that the changes of a batch were passed on.
 	BatchApplied func(b relayer.Batch)
 	// RelayedBatches delivers changes from other hosts that this one may lack.
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -334,7 +334,7 @@
 	withHosts(t, []string{"a1", "a2", "a3", "b1"}, func(n *testNetwork, h map[string]*Host) {
 		for _, host := range h {
 			makeReady(host, 1)
-			host.Feed().ListApplied("servers", 10, 10)
+			host.Feed().ListApplied(relayer.List{Kind: "servers", LastChange: 10, UpTo: 10})
 		}
 		n.clock.Advance(watchDelay)
 		for _, other := range []string{"a2", "a3", "b1"} {
@@ -376,7 +376,7 @@
 	withHosts(t, []string{"a1", "a2", "a3"}, func(n *testNetwork, h map[string]*Host) {
 		for _, host := range h {
 			makeReady(host, 1)
-			host.Feed().ListApplied("servers", 10, 10)
+			host.Feed().ListApplied(relayer.List{Kind: "servers", LastChange: 10, UpTo: 10})
 		}
 		exchangeReports(h["a1"], h["a3"])
 		exchangeReports(h["a2"], h["a3"])
@@ -427,7 +427,7 @@
 		a, b := h["a1"], h["a2"]
 		for _, host := range h {
 			makeReady(host, 1)
-			host.Feed().ListApplied("servers", 10, 10)
+			host.Feed().ListApplied(relayer.List{Kind: "servers", LastChange: 10, UpTo: 10})
 		}
 		exchangeReports(a, b)
 		n.clock.Advance(1000)
@@ -447,9 +447,9 @@
 		a, b := h["a1"], h["a2"]
 		for _, host := range h {
 			makeReady(host, 1)
-			host.Feed().ListApplied("servers", 10, 10)
+			host.Feed().ListApplied(relayer.List{Kind: "servers", LastChange: 10, UpTo: 10})
 		}
-		a.Feed().ListApplied("servers", 12, 12)
+		a.Feed().ListApplied(relayer.List{Kind: "servers", LastChange: 12, UpTo: 12})
 		exchangeReports(a, b)
 		if due := b.kindsToPoll(); len(due) != 0 {
 			t.Errorf("kinds to poll %v before the tolerated time has passed", due)
@@ -458,7 +458,7 @@
 		if due := b.kindsToPoll(); !slices.Equal(due, []string{"servers"}) {
 			t.Errorf("kinds to poll %v, want servers", due)
 		}
-		b.Feed().ListApplied("servers", 12, 12)
+		b.Feed().ListApplied(relayer.List{Kind: "servers", LastChange: 12, UpTo: 12})
 		if due := b.kindsToPoll(); len(due) != 0 {
 			t.Errorf("kinds to poll %v after the change is known", due)
 		}
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -57,6 +57,19 @@
 	// LastChange is the revision of the last change that the host has, and UpTo the
 	// revision up to which it has all changes.
 	LastChange, UpTo uint64
+	// Fingerprint is that of the host's list, if it has applied no change since.
+	Fingerprint uint64
+}
+
+// List describes a list of all objects of a kind.
+type List struct {
+	Kind string
+	// LastChange is the highest revision among the objects, and UpTo the revision of the
+	// store as of which they were read.
+	LastChange, UpTo uint64
+	// Fingerprint is the same for lists of the same objects at the same revisions, and
+	// never 0.
+	Fingerprint uint64
 }
 
 // Relayer holds the state of all kinds. It is safe for concurrent use.
@@ -72,6 +85,8 @@
 	// revisions after recentAfter.
 	recentChanges map[string]recentChange
 	recentAfter   uint64
+	// fingerprint is that of the list as of recentAfter, 0 if there is none.
+	fingerprint uint64
 	// remoteLastChange is the highest LastChange that another host reported, and
 	// laggingSince the time since which this host has been behind it.
 	remoteLastChange uint64
@@ -96,18 +111,17 @@
 	return r
 }
 
-// RecordList records that all objects of a kind were read at revision upTo;
-// lastChange is the highest revision among them.
-func (r *Relayer) RecordList(kind string, lastChange, upTo uint64) {
+// RecordList records that all objects of a kind were read.
+func (r *Relayer) RecordList(l List) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := r.kinds[kind]
-	if k == nil || upTo <= k.upTo {
+	k := r.kinds[l.Kind]
+	if k == nil || l.UpTo <= k.upTo {
 		return
 	}
 	// A list does not show which objects were deleted before it.
 	clear(k.recentChanges)
-	k.recentAfter, k.upTo, k.lastChange = upTo, upTo, max(k.lastChange, lastChange)
+	k.recentAfter, k.upTo, k.lastChange, k.fingerprint = l.UpTo, l.UpTo, max(k.lastChange, l.LastChange), l.Fingerprint
 }
 
 // RecordBatch records that the changes of a batch were applied.
@@ -144,7 +158,7 @@
 func (k *kindState) expireChanges(now clock.Millis) {
 	for name, c := range k.recentChanges {
 		if now-c.appliedAt > changeTTL {
-			k.recentAfter = max(k.recentAfter, c.maxRevision)
+			k.recentAfter, k.fingerprint = max(k.recentAfter, c.maxRevision), 0
 			delete(k.recentChanges, name)
 		}
 	}
@@ -194,7 +208,11 @@
 	var out []Revision
 	for name, k := range r.kinds {
 		if k.upTo > 0 {
-			out = append(out, Revision{Kind: name, LastChange: k.lastChange, UpTo: k.upTo})
+			rev := Revision{Kind: name, LastChange: k.lastChange, UpTo: k.upTo}
+			if k.upTo == k.recentAfter {
+				rev.Fingerprint = k.fingerprint
+			}
+			out = append(out, rev)
 		}
 	}
 	return out
@@ -209,7 +227,7 @@
 	bytesLeft := maxBatchBytes
 	for _, rev := range revisions {
 		k := r.kinds[rev.Kind]
-		if k == nil || k.lastChange <= rev.UpTo || rev.UpTo < k.recentAfter {
+		if k == nil || k.lastChange <= rev.UpTo || !k.hasAllAfter(rev) {
 			continue
 		}
 		b := k.batchAfter(rev, &bytesLeft)
@@ -220,6 +238,12 @@
 	return out
 }
 
+// hasAllAfter reports whether all changes after a host's revision are known. They are also
+// if the host has an earlier list of the same objects: nothing has changed between the two.
+func (k *kindState) hasAllAfter(rev Revision) bool {
+	return rev.UpTo >= k.recentAfter || rev.Fingerprint != 0 && rev.Fingerprint == k.fingerprint
+}
+
 // batchAfter returns the oldest changes after a revision that fit into bytesLeft,
 // and reduces bytesLeft by their size. A batch that is cut ends before the lowest
 // revision that any of the changes left out can have.
--- a/pkg/relayer/relayer_test.go
+++ b/pkg/relayer/relayer_test.go
@@ -48,7 +48,7 @@
 // A host that is slightly behind gets exactly the changes that it lacks.
 func TestMissingBatches(t *testing.T) {
 	r := New("servers")
-	r.RecordList("servers", 7, 10)
+	r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: 10})
 	r.RecordBatch(batch(10, 12, put("a", 11), put("b", 12)), 1000)
 	r.RecordBatch(batch(12, 20, put("c", 13)), 1100)
 	assertNames(t, "host at the list's revision", r.MissingBatches(revisions(7, 10)), "a", "b", "c")
@@ -63,16 +63,16 @@
 // Changes recorded before a list are not passed on: they may lack deletions.
 func TestListDropsChanges(t *testing.T) {
 	r := New("servers")
-	r.RecordList("servers", 7, 10)
+	r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: 10})
 	r.RecordBatch(batch(10, 12, put("a", 11)), 1000)
-	r.RecordList("servers", 11, 15)
+	r.RecordList(List{Kind: "servers", LastChange: 11, UpTo: 15})
 	assertNames(t, "host before the second list", r.MissingBatches(revisions(7, 10)))
 }
 
 // The store may give a deletion the revision of the object's last change.
 func TestDeletionWithOldRevision(t *testing.T) {
 	r := New("servers")
-	r.RecordList("servers", 7, 10)
+	r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: 10})
 	r.RecordBatch(batch(10, 12, put("b", 12)), 1000)
 	r.RecordBatch(batch(12, 14, Change{Name: "a", Revision: 5, Deleted: true}), 1000)
 	assertNames(t, "host that lacks the deletion", r.MissingBatches(revisions(12, 12)), "a")
@@ -81,7 +81,7 @@
 // Old changes expire, and a host that lacks them must read from the store.
 func TestExpiredChanges(t *testing.T) {
 	r := New("servers")
-	r.RecordList("servers", 7, 10)
+	r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: 10})
 	r.RecordBatch(batch(10, 12, put("a", 11)), 1000)
 	r.RecordBatch(batch(12, 13, put("b", 13)), 1001+changeTTL)
 	assertNames(t, "host that lacks the expired change", r.MissingBatches(revisions(7, 10)))
@@ -92,8 +92,8 @@
 // but not those of other kinds.
 func TestLargeChange(t *testing.T) {
 	r := New("config", "servers")
-	r.RecordList("config", 1, 1)
-	r.RecordList("servers", 1, 1)
+	r.RecordList(List{Kind: "config", LastChange: 1, UpTo: 1})
+	r.RecordList(List{Kind: "servers", LastChange: 1, UpTo: 1})
 	r.RecordBatch(Batch{Kind: "config", After: 1, UpTo: 2, Changes: []Change{{Name: "main", Revision: 2, Content: make([]byte, maxBatchBytes+1)}}}, 0)
 	r.RecordBatch(batch(1, 3, put("a", 3)), 0)
 	assertNames(t, "both kinds", r.MissingBatches([]Revision{{Kind: "config", UpTo: 1}, {Kind: "servers", UpTo: 1}}), "a")
@@ -103,7 +103,7 @@
 // change.
 func TestLaggingKinds(t *testing.T) {
 	r := New("servers")
-	r.RecordList("servers", 7, 10)
+	r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: 10})
 	r.ObserveRevisions(revisions(9, 30), 1000)
 	assertLagging(t, "newer UpTo without a newer change", r, 2000, false)
 	r.ObserveRevisions(revisions(12, 12), 1000)
@@ -123,7 +123,7 @@
 		var upTo [hosts]uint64
 		for i := range hosts {
 			relayers[i] = New("servers")
-			relayers[i].RecordList("servers", 1, 1)
+			relayers[i].RecordList(List{Kind: "servers", LastChange: 1, UpTo: 1})
 			views[i], upTo[i] = make(map[string]uint64), 1
 		}
 		apply := func(i int, b Batch, now clock.Millis) {
@@ -201,7 +201,7 @@
 func TestRelayedDeletionInCutBatch(t *testing.T) {
 	first, second, third := New("servers"), New("servers"), New("servers")
 	for _, r := range []*Relayer{first, second, third} {
-		r.RecordList("servers", 7, 10)
+		r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: 10})
 	}
 	change := func(name string, rev uint64) {
 		first.RecordBatch(batch(rev-1, rev, Change{Name: name, Revision: rev, Content: make([]byte, maxBatchBytes/4)}), 1000)
@@ -220,3 +220,23 @@
 	}
 	assertNames(t, "first host to the third", first.MissingBatches(third.Revisions()), "e")
 }
+
+// TestListsAtDifferentRevisions guards against hosts that can't get the next change from
+// others because they listed the store before them.
+func TestListsAtDifferentRevisions(t *testing.T) {
+	list := func(upTo, fingerprint uint64) *Relayer {
+		r := New("servers")
+		r.RecordList(List{Kind: "servers", LastChange: 7, UpTo: upTo, Fingerprint: fingerprint})
+		return r
+	}
+	first, second, other := list(10, 1), list(12, 1), list(12, 2)
+	for _, r := range []*Relayer{second, other} {
+		r.RecordBatch(batch(12, 13, put("a", 13)), 1000)
+	}
+	assertNames(t, "host with a later list of the same objects", second.MissingBatches(first.Revisions()), "a")
+	assertNames(t, "host with a later list of others", other.MissingBatches(first.Revisions()))
+	if got := relay(second, first, 1100)[0]; got.UpTo != 13 || got.Fingerprint != 0 {
+		t.Errorf("after the change: %+v, want revision 13 without a fingerprint", got)
+	}
+	assertNames(t, "host with no fingerprint", list(12, 0).MissingBatches(list(10, 0).Revisions()))
+}
