--- a/pkg/balancer/replay_known_red_test.go
+++ b/pkg/balancer/replay_known_red_test.go
@@ -2,7 +2,11 @@
 
 package balancer
 
-import "testing"
+import (
+	"testing"
+
+	"catkindyke/pkg/clock"
+)
 
 // Other servers must warm up for the objects of the slow ones while few slots are free.
 func TestReplayThirdSlowInBurst(t *testing.T) {
@@ -33,3 +37,24 @@
 		t.Run(c.name, c.run)
 	}
 }
+
+// At peak load in a small and in a large fleet, a third of the servers names a limit, or half
+// of them says that it leaves. The target is 0.85 of the ideal.
+func TestReplayNoticesRed(t *testing.T) {
+	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
+		load := func(string, clock.Millis) float64 { return 1.7 * size.baseRate }
+		for _, c := range []replayCase{
+			{"a third of the servers names a limit", size, load, func(r *replay) {
+				r.withNotices(burstStart, Notice{Limit: RateLimit{Limited: true, PerSecond: 4}}, func(i int) bool { return i%3 == 0 })
+			}, 0.85},
+			{"half of the servers leaves within 2 s", size, load, func(r *replay) {
+				for n := range 4 {
+					r.withNotices(burstStart+clock.Millis(n)*500, Notice{Leaving: true}, func(i int) bool { return i%8 == 2*n })
+				}
+				r.removeServers(burstStart+4*clock.Second, func(i int, _ Server) bool { return i%2 == 0 })
+			}, 0.85},
+		} {
+			t.Run(fleet+", "+c.name, c.run)
+		}
+	}
+}
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -51,6 +52,20 @@
 	slowdown      float64
 	// shedding servers refuse all requests; removed servers have left the fleet.
 	shedding, removed bool
+	// notice is what the server says in its responses. One that names a backoff sheds.
+	notice Notice
+}
+
+// capacity is the number of requests per second that the server can answer.
+func (s *replayServer) capacity(slots int, warmServiceTime clock.Millis) float64 {
+	if s.shedding || s.notice.Leaving || s.notice.Backoff > 0 {
+		return 0
+	}
+	perSecond := float64(slots) * 1000 / (float64(warmServiceTime) * s.slowdown)
+	if s.notice.Limit.Limited {
+		return min(perSecond, s.notice.Limit.PerSecond)
+	}
+	return perSecond
 }
 
 type replayEvent struct {
@@ -134,12 +149,16 @@
 	for _, s := range r.serverList {
 		r.servers[s.ID] = &replayServer{slowdown: 1}
 	}
+	preceding := make(map[string]int)
 	for _, group := range size.hosts {
 		r.hostsByRegion[group.region] = group.count
 		for position := range group.count {
 			b := New(Config{Region: group.region, ShiftRate: 0.0225})
 			b.SetServers(r.serverList)
-			b.SetLiveHosts(LiveHosts{ByRegion: r.hostsByRegion, RegionIndex: position, FleetIndex: len(r.hosts)})
+			b.SetLiveHosts(LiveHosts{
+				ByRegion: r.hostsByRegion, RegionIndex: position, FleetIndex: len(r.hosts), Preceding: maps.Clone(preceding),
+			})
+			preceding[group.region]++
 			r.hosts = append(r.hosts, &replayHost{region: group.region, balancer: b})
 		}
 	}
@@ -182,9 +201,7 @@
 	}
 	var capacity, demand float64
 	for _, info := range r.serverList {
-		if s := r.servers[info.ID]; !s.shedding {
-			capacity += float64(info.Slots) * 1000 / (float64(r.size.warmServiceTime) * s.slowdown)
-		}
+		capacity += r.servers[info.ID].capacity(info.Slots, r.size.warmServiceTime)
 	}
 	for region := range r.hostsByRegion {
 		demand += r.load(region, r.now)
@@ -195,12 +212,14 @@
 func (r *replay) exchangeReports() {
 	for i, h := range r.hosts {
 		report := LoadReport{Region: h.region, InFlight: h.balancer.InFlight(), Demands: h.balancer.Demands(r.now)}
+		notices := h.balancer.NoticesSince(r.now-r.size.reportInterval, r.now)
 		placements := h.balancer.PlacementsSince(r.now - r.size.reportInterval)
 		for j, other := range r.hosts {
 			if i == j {
 				continue
 			}
 			other.balancer.SetLoadReport(hostName(i), report, r.now)
+			other.balancer.ApplyNotices(notices, r.now)
 			if h.region == other.region {
 				other.balancer.ApplyPlacements(placements, r.now)
 			}
@@ -255,13 +274,15 @@
 	knownWarm := call.host.balancer.StartAttempt(c, req, r.now)
 	sent, rtt := r.now, r.rtt(call.host.region, c.Server.Region)
 	respond := func(result Result, then func()) {
+		notice := r.servers[c.Server.ID].notice
+		notice.Limit.Known = result == Answered || notice.Limit.Limited
 		r.schedule(rtt-rtt/2, func() {
-			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: knownWarm, Result: result, Duration: r.now - sent}, r.now)
+			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: knownWarm, Result: result, Duration: r.now - sent, Notice: &notice}, r.now)
 			then()
 		})
 	}
 	r.schedule(rtt/2, func() {
-		if s := r.servers[c.Server.ID]; s.shedding || s.removed {
+		if s := r.servers[c.Server.ID]; s.shedding || s.removed || s.notice.Backoff > 0 {
 			respond(Shed, func() { r.retry(call, minRetryAfter) })
 			return
 		}
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -226,3 +226,28 @@
 		t.Run(c.name, c.run)
 	}
 }
+
+// withNotices schedules the notices of servers from a time on.
+func (r *replay) withNotices(at clock.Millis, n Notice, says func(i int) bool) {
+	r.changeServers(at, func(i int, _ Server, s *replayServer) {
+		if says(i) {
+			s.notice = n
+		}
+	})
+}
+
+// A tenth of the servers after the other turns requests away for 2 s at peak load.
+func TestReplayBackoff(t *testing.T) {
+	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
+		load := func(string, clock.Millis) float64 { return 1.7 * size.baseRate }
+		c := replayCase{"", size, load, func(r *replay) {
+			r.retries = 2
+			for n := range 5 {
+				at := burstStart + clock.Millis(n)*2*clock.Second
+				r.withNotices(at, Notice{Backoff: 2 * clock.Second}, func(i int) bool { return i%10 == n })
+				r.withNotices(at+2*clock.Second, Notice{}, func(i int) bool { return i%10 == n })
+			}
+		}, 0.85}
+		t.Run(fleet, c.run)
+	}
+}
