balancer, steerer: draining instead of leaving; docs of notices

The project's word for a server that takes no new requests is draining; the new code used the header's word, and names where advertises is the usual term. No change of logic.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -15,9 +15,9 @@
 	ReasonNoServer = "no_server"
 	ReasonBusy     = "busy"
 	ReasonCold     = "cold"
-	// ReasonLimited means that the servers have named rate limits that are used up.
+	// ReasonLimited means that the rate limits that the servers advertise are used up.
 	ReasonLimited = "limited"
-	// ReasonBackoff means that the servers have said that they want no requests for a time.
+	// ReasonBackoff means that the servers back off.
 	ReasonBackoff = "backoff"
 )
 
--- a/pkg/balancer/notice.go
+++ b/pkg/balancer/notice.go
@@ -37,8 +37,8 @@
 
 // Notice is what a backend server says about itself in a response.
 type Notice struct {
-	// Leaving is set if the server is about to stop and wants no more requests.
-	Leaving bool
+	// Draining is set if the server is about to stop and takes no more requests.
+	Draining bool
 	// Backoff is the time for which the server wants no requests from this host, 0 if it
 	// does not say so.
 	Backoff clock.Millis
@@ -49,7 +49,7 @@
 type RateLimit struct {
 	// Known is set if the response shows whether there is a limit.
 	Known bool
-	// Limited is set if the server names a limit: PerSecond requests per second from all
+	// Limited is set if the server advertises a limit: PerSecond requests per second from all
 	// hosts together, for as long as it says so.
 	Limited   bool
 	PerSecond float64
@@ -76,13 +76,13 @@
 	startUnixMs int64
 	// usedAt is the last time at which the server was among those that may get requests.
 	usedAt clock.Millis
-	// leaving is set once the server has said that it leaves. It stays set: responses that
-	// do not say so may have been under way.
-	leaving bool
+	// draining is set once the server has said so. It stays set: responses that do not say
+	// so may have been under way.
+	draining bool
 	// backoffUntil is the time until which the server wants no requests from this host.
-	// isTested is set until it has answered a request after that.
+	// needsProbe is set until it has answered a request after that time.
 	backoffUntil clock.Millis
-	isTested     bool
+	needsProbe   bool
 	// direct is the last limit that this host has received itself, and latest the last one
 	// that any host has.
 	direct, latest observation
@@ -97,8 +97,8 @@
 // record records a notice in a response and reports whether this host's knowledge of the
 // server has changed.
 func (k *notices) record(n Notice, now clock.Millis) (changed bool) {
-	changed = n.Leaving && !k.leaving
-	k.leaving = k.leaving || n.Leaving
+	changed = n.Draining && !k.draining
+	k.draining = k.draining || n.Draining
 	if n.Limit.Known {
 		changed = changed || k.latest.RateLimit != n.Limit && (n.Limit.Limited || k.latest.Limited)
 		k.direct = observation{n.Limit, now}
@@ -109,7 +109,7 @@
 	}
 	if n.Backoff > 0 {
 		changed = changed || now >= k.backoffUntil
-		k.backoffUntil, k.isTested = max(k.backoffUntil, now+min(n.Backoff, maxBackoff)), true
+		k.backoffUntil, k.needsProbe = max(k.backoffUntil, now+min(n.Backoff, maxBackoff)), true
 	}
 	return changed
 }
@@ -117,14 +117,14 @@
 // recordAnswer records that the server has answered a request.
 func (k *notices) recordAnswer(now clock.Millis) {
 	if now >= k.backoffUntil {
-		k.isTested = false
+		k.needsProbe = false
 	}
 }
 
 // isBackingOff reports whether the server wants no requests from this host, or has just one
 // that shows whether it takes requests again.
 func (s *server) isBackingOff(now clock.Millis) bool {
-	return now < s.notices.backoffUntil || s.notices.isTested && s.localInFlight > 0
+	return now < s.notices.backoffUntil || s.notices.needsProbe && s.localInFlight > 0
 }
 
 // update replaces the latest observation by a later one.
@@ -166,7 +166,7 @@
 	for id, k := range b.notices {
 		if k.announcedAt > 0 && k.announcedAt >= since {
 			out = append(out, ServerNotice{
-				Server: id, StartUnixMs: k.startUnixMs, Notice: Notice{Leaving: k.leaving, Limit: k.direct.RateLimit}, Age: now - k.direct.at,
+				Server: id, StartUnixMs: k.startUnixMs, Notice: Notice{Draining: k.draining, Limit: k.direct.RateLimit}, Age: now - k.direct.at,
 			})
 		}
 	}
@@ -180,7 +180,7 @@
 		if k == nil || k.startUnixMs != n.StartUnixMs {
 			continue
 		}
-		k.leaving = k.leaving || n.Leaving
+		k.draining = k.draining || n.Draining
 		if n.Limit.Known {
 			k.update(observation{n.Limit, now - n.Age})
 			k.heardAt = now
--- a/pkg/balancer/notice_test.go
+++ b/pkg/balancer/notice_test.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// Of a server that has named a rate limit for limitContactTime, any limitWindow may have
+	// Of a server that has advertised a rate limit for limitContactTime, any limitWindow may have
 	// limitFactor times what the limit allows and limitSlack more, from hosts that it told at
 	// least limitTellTime before.
 	limitContactTime, limitWindow, limitTellTime clock.Millis = 3000, 4000, 500
 	limitFactor, limitSlack                                   = 1.5, 5.0
 )
 
-// limitedFleet is a fleet of balancers whose servers name rate limits.
+// limitedFleet is a fleet of balancers whose servers advertise rate limits.
 type limitedFleet struct {
 	random    *rand.Rand
 	hosts     []*Balancer
@@ -167,7 +167,7 @@
 var withReports = []clock.Millis{50, 1000}
 
 // TestServerLimitExceeded guards against a fleet that sends a server more requests than the
-// rate limit that it names.
+// rate limit that it advertises.
 func TestServerLimitExceeded(t *testing.T) {
 	t.Run("some servers", func(t *testing.T) {
 		forFleets(8, []clock.Millis{0, 50, 1000}, func(name string, f *limitedFleet) {
@@ -270,34 +270,34 @@
 	})
 }
 
-// A server that has said that it leaves gets no request, whatever else is heard of it, until
+// A server that has said that it drains gets no request, whatever else is heard of it, until
 // it has started again.
-func TestServerThatLeaves(t *testing.T) {
-	leaving := Notice{Leaving: true}
+func TestDrainingServerInResponse(t *testing.T) {
+	draining := Notice{Draining: true}
 	assertChosen := func(t *testing.T, step string, b *Balancer, want bool) {
 		t.Helper()
 		if c := b.Choose(request("x"), 3000); c.Refused == want {
 			t.Errorf("%s: got %+v, want a server: %v", step, c, want)
 		}
 	}
-	withLeaving := func(test func(b *Balancer, list []Server)) {
+	withDraining := func(test func(b *Balancer, list []Server)) {
 		list := makeServers("n", 1, 4)
 		list[0].StartUnixMs = 5
 		withBalancer("n", list, func(b *Balancer) {
-			if !b.servers["n0"].notices.record(leaving, 1000) {
+			if !b.servers["n0"].notices.record(draining, 1000) {
 				t.Error("the notice does not count as a change")
 			}
 			test(b, list)
 		})
 	}
 	t.Run("a later response does not say so", func(t *testing.T) {
-		withLeaving(func(b *Balancer, _ []Server) {
+		withDraining(func(b *Balancer, _ []Server) {
 			b.servers["n0"].notices.record(Notice{Limit: RateLimit{Known: true}}, 2000)
 			assertChosen(t, "after the response", b, false)
 		})
 	})
 	t.Run("its zone is evacuated and taken back", func(t *testing.T) {
-		withLeaving(func(b *Balancer, list []Server) {
+		withDraining(func(b *Balancer, list []Server) {
 			b.SetServers(nil)
 			b.Tick(2000)
 			b.SetServers(list)
@@ -305,7 +305,7 @@
 		})
 	})
 	t.Run("it starts again", func(t *testing.T) {
-		withLeaving(func(b *Balancer, list []Server) {
+		withDraining(func(b *Balancer, list []Server) {
 			stale := b.NoticesSince(0, 2000)
 			list[0].StartUnixMs = 6
 			b.SetServers(list)
@@ -315,7 +315,7 @@
 		})
 	})
 	t.Run("another host has heard it", func(t *testing.T) {
-		withLeaving(func(b *Balancer, list []Server) {
+		withDraining(func(b *Balancer, list []Server) {
 			withBalancer("e", list, func(other *Balancer) {
 				assertChosen(t, "before the report", other, true)
 				other.ApplyNotices(b.NoticesSince(1000, 1500), 1500)
@@ -323,10 +323,10 @@
 			})
 		})
 	})
-	t.Run("others are left", func(t *testing.T) {
+	t.Run("others remain", func(t *testing.T) {
 		withBalancer("n", makeServers("n", 4, 4), func(b *Balancer) {
 			for _, id := range []string{"n0", "n1", "n2"} {
-				b.servers[id].notices.record(leaving, 1000)
+				b.servers[id].notices.record(draining, 1000)
 			}
 			for i := range 3 {
 				if c := b.Choose(request(fmt.Sprint(i)), 2000); c.Server.ID != "n3" {
@@ -353,7 +353,7 @@
 		b.servers["n1"].notices.backoffUntil = 5000
 		c := choose(1500)
 		if !c.Refused || c.Reason != ReasonBackoff || c.RetryAfter < 2500 || c.RetryAfter > 2700 {
-			t.Errorf("while both back off: got %+v, want a refusal with the time left of the first one", c)
+			t.Errorf("while both back off: got %+v, want a refusal with the time drained of the first one", c)
 		}
 		finish(Choice{Server: list[0]}, Answered, Notice{Limit: RateLimit{Known: true}}, 2000)
 		if c := choose(2100); !c.Refused {
@@ -391,19 +391,19 @@
 	})
 }
 
-// Whatever the order of responses and reports, a host sends nothing to a server that has told
-// it to leave it alone, and refuses nothing that another server may take.
+// Whatever the order of responses and reports, a host sends nothing to a server that drains or
+// backs off, and refuses nothing that another server may take.
 func TestNoticesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		const hostCount, serverCount = 3, 3
 		list := makeServers("n", serverCount, 4)
 		var hosts [hostCount]*Balancer
-		var left [hostCount]map[string]bool
+		var drained [hostCount]map[string]bool
 		var backoffUntil [hostCount]map[string]clock.Millis
 		for i := range hosts {
 			hosts[i] = New(Config{Region: "n"})
 			hosts[i].SetServers(list)
-			left[i], backoffUntil[i] = make(map[string]bool), make(map[string]clock.Millis)
+			drained[i], backoffUntil[i] = make(map[string]bool), make(map[string]clock.Millis)
 		}
 		type sentRequest struct {
 			host   int
@@ -418,8 +418,8 @@
 				i := rapid.IntRange(0, hostCount-1).Draw(rt, "host")
 				c := hosts[i].Choose(request("x"), now)
 				if !c.Refused {
-					if id := c.Server.ID; left[i][id] || now < backoffUntil[i][id] {
-						rt.Fatalf("host %d sends a request to server %s at %d ms; it leaves: %v, it backs off until %d ms", i, id, now, left[i][id], backoffUntil[i][id])
+					if id := c.Server.ID; drained[i][id] || now < backoffUntil[i][id] {
+						rt.Fatalf("host %d sends a request to server %s at %d ms; it drains: %v, it backs off until %d ms", i, id, now, drained[i][id], backoffUntil[i][id])
 					}
 					hosts[i].StartAttempt(c, request("x"), now)
 					inFlight = append(inFlight, sentRequest{i, c})
@@ -441,7 +441,7 @@
 				notice, result := Notice{Limit: RateLimit{Known: true}}, Answered
 				switch rapid.IntRange(0, 9).Draw(rt, "notice") {
 				case 0:
-					notice.Leaving, left[r.host][r.choice.Server.ID] = true, true
+					notice.Draining, drained[r.host][r.choice.Server.ID] = true, true
 				case 1, 2:
 					notice, result = Notice{Backoff: clock.Millis(rapid.IntRange(1, 3000).Draw(rt, "backoff"))}, Shed
 					until := &backoffUntil[r.host]
--- a/pkg/balancer/replay_known_red_test.go
+++ b/pkg/balancer/replay_known_red_test.go
@@ -38,18 +38,18 @@
 	}
 }
 
-// At peak load in a small and in a large fleet, a third of the servers names a limit, or half
-// of them says that it leaves. The target is 0.85 of the ideal.
+// At peak load in a small and in a large fleet, a third of the servers advertises a limit, or half
+// of them says that it drains. The target is 0.85 of the ideal.
 func TestReplayNoticesRed(t *testing.T) {
 	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
 		load := func(string, clock.Millis) float64 { return 1.7 * size.baseRate }
 		for _, c := range []replayCase{
-			{"a third of the servers names a limit", size, load, func(r *replay) {
+			{"a third of the servers advertises a limit", size, load, func(r *replay) {
 				r.withNotices(burstStart, Notice{Limit: RateLimit{Limited: true, PerSecond: 4}}, func(i int) bool { return i%3 == 0 })
 			}, 0.85},
-			{"half of the servers leaves within 2 s", size, load, func(r *replay) {
+			{"half of the servers drains within 2 s", size, load, func(r *replay) {
 				for n := range 4 {
-					r.withNotices(burstStart+clock.Millis(n)*500, Notice{Leaving: true}, func(i int) bool { return i%8 == 2*n })
+					r.withNotices(burstStart+clock.Millis(n)*500, Notice{Draining: true}, func(i int) bool { return i%8 == 2*n })
 				}
 				r.removeServers(burstStart+4*clock.Second, func(i int, _ Server) bool { return i%2 == 0 })
 			}, 0.85},
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -52,13 +52,13 @@
 	slowdown      float64
 	// shedding servers refuse all requests; removed servers have left the fleet.
 	shedding, removed bool
-	// notice is what the server says in its responses. One that names a backoff sheds.
+	// notice is what the server says in its responses. One that backs off sheds.
 	notice Notice
 }
 
 // capacity is the number of requests per second that the server can answer.
 func (s *replayServer) capacity(slots int, warmServiceTime clock.Millis) float64 {
-	if s.shedding || s.notice.Leaving || s.notice.Backoff > 0 {
+	if s.shedding || s.notice.Draining || s.notice.Backoff > 0 {
 		return 0
 	}
 	perSecond := float64(slots) * 1000 / (float64(warmServiceTime) * s.slowdown)
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -66,7 +66,7 @@
 }
 
 func (s *server) isUnavailable(now clock.Millis) bool {
-	return s.unreachable || s.notices.leaving || now < s.ejectedUntil
+	return s.unreachable || s.notices.draining || now < s.ejectedUntil
 }
 
 func (s *server) isCold(now clock.Millis) bool { return now < s.ColdUntil }
@@ -252,7 +252,7 @@
 func (b *Balancer) UnreachableServers(now clock.Millis) []Server {
 	var out []Server
 	for _, s := range b.servers {
-		if s.unreachable && !s.notices.leaving && now >= s.notices.backoffUntil {
+		if s.unreachable && !s.notices.draining && now >= s.notices.backoffUntil {
 			out = append(out, s.Server)
 		}
 	}
--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -72,7 +72,7 @@
 	var out []*schema.ServerNotice
 	for _, n := range list {
 		out = append(out, &schema.ServerNotice{
-			ServerHash: xxhash.Sum64String(n.Server), StartUnixMs: n.StartUnixMs, Leaving: n.Leaving, LimitKnown: n.Limit.Known,
+			ServerHash: xxhash.Sum64String(n.Server), StartUnixMs: n.StartUnixMs, Draining: n.Draining, LimitKnown: n.Limit.Known,
 			LimitAgeMs: uint32(max(0, n.Age)), Limited: n.Limit.Limited, RateLimit: n.Limit.PerSecond,
 		})
 	}
@@ -91,7 +91,7 @@
 		out = append(out, balancer.ServerNotice{
 			Server: id, StartUnixMs: n.GetStartUnixMs(), Age: clock.Millis(n.GetLimitAgeMs()),
 			Notice: balancer.Notice{
-				Leaving: n.GetLeaving(), Limit: balancer.RateLimit{Known: n.GetLimitKnown(), Limited: n.GetLimited(), PerSecond: limit},
+				Draining: n.GetDraining(), Limit: balancer.RateLimit{Known: n.GetLimitKnown(), Limited: n.GetLimited(), PerSecond: limit},
 			},
 		})
 	}
--- a/pkg/steerer/notice.go
+++ b/pkg/steerer/notice.go
@@ -17,15 +17,15 @@
 var (
 	// errRateLimit is returned for a rate limit that is not a decimal number of at least 0.
 	errRateLimit = errors.New("rate limit is not a number of requests per second")
-	// errLeaving is returned for a leaving header with an unknown value.
-	errLeaving = errors.New("value of the leaving header is not 1")
+	// errDraining is returned for a draining header with an unknown value.
+	errDraining = errors.New("value of the draining header is not 1")
 	// errBackoff is returned for a Retry-After that is not a decimal number of at least 0.
 	errBackoff = errors.New("Retry-After is not a number of seconds")
 )
 
 const (
-	// leavingValue is the value with which a server says that it leaves.
-	leavingValue = "1"
+	// drainingValue is the value with which a server says that it drains.
+	drainingValue = "1"
 	// maxBackoffSeconds bounds the values that are converted to a duration.
 	maxBackoffSeconds = 1e6
 )
@@ -45,7 +45,7 @@
 		// A failing or overloaded server may leave out what it says otherwise.
 		n.Limit.Known = false
 	}
-	if n.Leaving, err = parseLeaving(resp.Header.Values(s.cfg.Headers.Leaving)); err != nil {
+	if n.Draining, err = parseDraining(resp.Header.Values(s.cfg.Headers.Draining)); err != nil {
 		s.logUnreadableNotice(c, err)
 	}
 	if resp.Status == http.StatusServiceUnavailable {
@@ -96,14 +96,14 @@
 	return out, nil
 }
 
-// parseLeaving reports whether one of the values of a header says that the server leaves.
-func parseLeaving(values []string) (bool, error) {
+// parseDraining reports whether one of the values of a header says that the server drains.
+func parseDraining(values []string) (bool, error) {
 	var err error
 	for _, value := range values {
-		if strings.TrimSpace(value) == leavingValue {
+		if strings.TrimSpace(value) == drainingValue {
 			return true, nil
 		}
-		err = fmt.Errorf("%w: %q", errLeaving, value)
+		err = fmt.Errorf("%w: %q", errDraining, value)
 	}
 	return false, err
 }
@@ -116,7 +116,7 @@
 
 // logNotice logs a change of what a server says about itself.
 func (s *Steerer) logNotice(c *call, n *balancer.Notice) {
-	event := s.cfg.Log.Info().Str("request", c.id).Str("server", c.choice.Server.ID).Bool("leaving", n.Leaving).Bool("limited", n.Limit.Limited)
+	event := s.cfg.Log.Info().Str("request", c.id).Str("server", c.choice.Server.ID).Bool("draining", n.Draining).Bool("limited", n.Limit.Limited)
 	if n.Backoff > 0 {
 		event = event.Int64("backoff_ms", int64(n.Backoff))
 	}
--- a/pkg/steerer/notice_test.go
+++ b/pkg/steerer/notice_test.go
@@ -37,20 +37,20 @@
 	}
 }
 
-// A value that does not say clearly that the server leaves must not take it out of use.
-func TestParseLeaving(t *testing.T) {
+// A value that does not say clearly that the server drains must not take it out of use.
+func TestParseDraining(t *testing.T) {
 	for _, values := range [][]string{{"1"}, {" 1 "}, {"0", "1"}} {
-		if leaving, err := parseLeaving(values); !leaving || err != nil {
-			t.Errorf("%q: got %v, %v; want true", values, leaving, err)
+		if draining, err := parseDraining(values); !draining || err != nil {
+			t.Errorf("%q: got %v, %v; want true", values, draining, err)
 		}
 	}
 	for _, value := range []string{"", "0", "-1", "11", "true", "soon", "NaN"} {
-		if leaving, err := parseLeaving([]string{value}); leaving || !errors.Is(err, errLeaving) {
-			t.Errorf("%q: got %v, %v; want errLeaving", value, leaving, err)
+		if draining, err := parseDraining([]string{value}); draining || !errors.Is(err, errDraining) {
+			t.Errorf("%q: got %v, %v; want errDraining", value, draining, err)
 		}
 	}
-	if leaving, err := parseLeaving(nil); leaving || err != nil {
-		t.Errorf("no header: got %v, %v", leaving, err)
+	if draining, err := parseDraining(nil); draining || err != nil {
+		t.Errorf("no header: got %v, %v", draining, err)
 	}
 }
 
@@ -96,14 +96,14 @@
 		"a refusal without one":           {respond(503, headers.NotExecuted, "1"), &balancer.Notice{}},
 		"a failure without one":           {respond(500), &balancer.Notice{}},
 		"an unreadable limit":             {respond(200, headers.RateLimit, "soon"), &balancer.Notice{}},
-		"a server that leaves":            {respond(200, headers.Leaving, "1"), &balancer.Notice{Leaving: true, Limit: noLimit}},
-		"a failing server that leaves":    {respond(500, headers.Leaving, "1"), &balancer.Notice{Leaving: true}},
-		"an unreadable leaving header":    {respond(200, headers.Leaving, "2"), &balancer.Notice{Limit: noLimit}},
+		"a server that drains":            {respond(200, headers.Draining, "1"), &balancer.Notice{Draining: true, Limit: noLimit}},
+		"a failing server that drains":    {respond(500, headers.Draining, "1"), &balancer.Notice{Draining: true}},
+		"an unreadable draining header":   {respond(200, headers.Draining, "2"), &balancer.Notice{Limit: noLimit}},
 		"a refusal with a delay":          {respond(503, "Retry-After", "1.5", headers.NotExecuted, "1"), &balancer.Notice{Backoff: 1500}},
 		"a delay without a refusal":       {respond(200, "Retry-After", "1.5"), &balancer.Notice{Limit: noLimit}},
 		"an unreadable delay":             {respond(503, "Retry-After", "Fri, 04 Dec 2026 20:00:00 GMT"), &balancer.Notice{}},
-		"another server at the address":   {respond(421, headers.RateLimit, "1", headers.Leaving, "1"), nil},
-		"unreadable limit, but it leaves": {respond(200, headers.RateLimit, "-1", headers.Leaving, "1"), &balancer.Notice{Leaving: true}},
+		"another server at the address":   {respond(421, headers.RateLimit, "1", headers.Draining, "1"), nil},
+		"unreadable limit, but it drains": {respond(200, headers.RateLimit, "-1", headers.Draining, "1"), &balancer.Notice{Draining: true}},
 	} {
 		withSteerer(t, func(f *fixture) {
 			f.respond = func(int) (*courier.Response, error) { return c.resp, nil }
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -65,8 +65,8 @@
 	RemainingColdTime string
 	// RateLimit is the number of requests per second that a server takes from all hosts.
 	RateLimit string
-	// Leaving marks responses of servers that are about to stop.
-	Leaving string
+	// Draining marks responses of servers that are about to stop.
+	Draining string
 }
 
 // Config configures a steerer. All fields are required.
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -23,7 +23,7 @@
 
 var headers = Headers{
 	RequestID: "Id", Deadline: "Deadline", Object: "Object", Key: "Key", Workspace: "Workspace",
-	ExpectedServer: "Expected", NotExecuted: "Not-Executed", RateLimit: "Limit", Leaving: "Leaving",
+	ExpectedServer: "Expected", NotExecuted: "Not-Executed", RateLimit: "Limit", Draining: "Draining",
 }
 
 // fixture is a steerer whose dependencies are all fakes.
