balancer: divide a rate limit by all hosts also while some are out of reach

With half of 40 hosts out of reach of the others, a server with a limit of 4 per second got 30 requests in 4 s where 29 are allowed, one with 6.9 got 47 of 46.4: each half selected as many senders as the whole fleet. And of hosts that heard of a limit from nobody, 6 to 9 tested a server that takes none within 4 s, where 5 are allowed.

Change: where only some hosts send, their parts shrink by the fraction of hosts that are live, as they do where all hosts send. Hosts test a limit that nobody hears of 2 s after one another, not 0.5 s.

--- a/pkg/balancer/notice.go
+++ b/pkg/balancer/notice.go
@@ -21,7 +21,7 @@
 	limitBurst = 0.25
 	// noticeTTL is the time after which a notice that no host has heard again is doubted,
 	// at the first host; each further one waits noticeTTLStep longer, up to maxNoticeTTL.
-	noticeTTL, noticeTTLStep, maxNoticeTTL = 10 * clock.Second, clock.Millis(500), 60 * clock.Second
+	noticeTTL, noticeTTLStep, maxNoticeTTL = 10 * clock.Second, 2 * clock.Second, 60 * clock.Second
 	// noticeInterval is the time after which hosts are told again of a notice that has not
 	// changed.
 	noticeInterval = noticeTTL / 4
@@ -199,21 +199,23 @@
 // server with a rate limit, 0 if that is left to others.
 func (b *Balancer) limitShare(s *server) float64 {
 	limit := math.Max(s.notices.latest.PerSecond, minRateLimit)
-	total := max(b.hostCount, b.liveHosts.total())
-	senders := total
-	if limit < float64(total-minLimitSenders) {
-		senders = minLimitSenders + int(limit)
-		local := b.liveHosts.ByRegion[s.Region]
-		quota := min(local, int(math.Ceil(localSenderFraction*float64(senders))))
-		index, count := b.liveHosts.RegionIndex, local
-		if s.Region != b.cfg.Region {
-			index, count, quota = b.liveHosts.FleetIndex-b.liveHosts.Preceding[s.Region], b.liveHosts.total()-local, senders-quota
-		}
-		if (uint64(index)+s.hash())%uint64(max(1, count)) >= uint64(quota) {
-			return 0
-		}
+	live := b.liveHosts.total()
+	total := max(b.hostCount, live)
+	if limit >= float64(total-minLimitSenders) {
+		return limit / float64(total)
+	}
+	senders := minLimitSenders + int(limit)
+	local := b.liveHosts.ByRegion[s.Region]
+	quota := min(local, int(math.Ceil(localSenderFraction*float64(senders))))
+	index, count := b.liveHosts.RegionIndex, local
+	if s.Region != b.cfg.Region {
+		index, count, quota = b.liveHosts.FleetIndex-b.liveHosts.Preceding[s.Region], live-local, senders-quota
+	}
+	if (uint64(index)+s.hash())%uint64(max(1, count)) >= uint64(quota) {
+		return 0
 	}
-	return limit / float64(senders)
+	// Silent hosts may select as many senders among themselves.
+	return limit / float64(senders) * float64(live) / float64(total)
 }
 
 // isWithinRateLimit reports whether this host may send a request to a server now.
--- a/pkg/balancer/notice_test.go
+++ b/pkg/balancer/notice_test.go
@@ -12,152 +12,89 @@
 )
 
 const (
-	// Of a server that has advertised a rate limit for limitContactTime, any limitWindow may have
-	// limitFactor times what the limit allows and limitSlack more, from hosts that it told at
-	// least limitTellTime before.
+	// Of a server that has advertised a rate limit for limitContactTime, any limitWindow may
+	// have limitFactor times what the limit allows and limitSlack more, from hosts that it told
+	// at least limitTellTime before.
 	limitContactTime, limitWindow, limitTellTime clock.Millis = 3000, 4000, 500
 	limitFactor, limitSlack                                   = 1.5, 5.0
+	// limitStart is the time from which servers advertise limits.
+	limitStart clock.Millis = 3000
 )
 
-// limitedFleet is a fleet of balancers whose servers advertise rate limits.
+// limitedFleet is a replay of a fleet whose servers advertise rate limits.
 type limitedFleet struct {
-	random    *rand.Rand
-	hosts     []*Balancer
-	limits    map[string]float64
-	serviceMs clock.Millis
-	now       clock.Millis
-	// ends holds the ends of attempts by time. told is when a host got a server's first
-	// notice, and sent holds the times of requests from hosts that were told in time.
-	ends map[clock.Millis][]func()
-	// exchangeInterval is the time between exchanges of notices, each of which is as old
-	// when it arrives; 0 means that there are none.
-	exchangeInterval clock.Millis
-	told             map[string]clock.Millis
-	sent             map[string][]clock.Millis
-	// served and refused count all requests.
-	served, refused int
+	*replay
+	name   string
+	limits map[string]float64
+	// sent holds the times of requests to each server from hosts that were told in time.
+	sent map[string][]clock.Millis
 }
 
-func newLimitedFleet(seed uint64, hosts, servers int) *limitedFleet {
-	f := &limitedFleet{
-		random: rand.New(rand.NewPCG(seed, 1)), limits: make(map[string]float64), serviceMs: 200, now: 1000,
-		ends: make(map[clock.Millis][]func()), told: make(map[string]clock.Millis), sent: make(map[string][]clock.Millis),
-	}
-	var list []Server
-	for i := range servers {
-		region := fmt.Sprintf("r%d", i%2)
-		list = append(list, Server{ID: fmt.Sprintf("s%d", i), Service: "desk", Address: fmt.Sprintf("a%d", i), Region: region, Slots: 4})
-	}
-	for i := range hosts {
-		b := New(Config{Region: fmt.Sprintf("r%d", i%2), ShiftRate: 0.02, ColdSenders: 4})
-		b.SetServers(list)
-		f.hosts = append(f.hosts, b)
-	}
-	f.setLive()
-	return f
-}
-
-func (f *limitedFleet) setLive() {
-	for i, b := range f.hosts {
-		live := LiveHosts{ByRegion: make(map[string]int), FleetIndex: i, RegionIndex: i / 2, Preceding: map[string]int{"r0": (i + 1) / 2, "r1": i / 2}}
-		for j := range f.hosts {
-			live.ByRegion[fmt.Sprintf("r%d", j%2)]++
+// forFleets runs test with fleets of several sizes and with reports at several intervals.
+// demand returns the requests per second of the fleet at a time.
+func forFleets(intervals []clock.Millis, limits map[string]float64, demand func(hosts int, now clock.Millis) float64, test func(f *limitedFleet)) {
+	for seed := range uint64(4) {
+		for _, hosts := range []int{1, 4, 8, 40} {
+			for _, interval := range intervals {
+				size := replaySize{
+					hosts: []regionHosts{{"n", (hosts + 1) / 2}, {"s", hosts / 2}}, coldServiceTime: 200, warmServiceTime: 200, objectsPerRegion: 100,
+					serverList:    func() []Server { return append(makeServers("n", 4, 4), makeServers("s", 4, 4)...) },
+					targetLatency: 400, timeout: 2000, reportInterval: interval,
+				}
+				f := &limitedFleet{name: fmt.Sprintf("seed %d, %d hosts, reports each %d ms", seed, hosts, interval), limits: limits, sent: make(map[string][]clock.Millis)}
+				f.replay = newSizedReplay(size, func(region string, now clock.Millis) float64 {
+					return demand(hosts, now) * float64(f.hostsByRegion[region]) / float64(hosts)
+				})
+				f.rng = rand.New(rand.NewPCG(seed, 1))
+				f.observe()
+				test(f)
+			}
 		}
-		b.SetLiveHosts(live)
 	}
 }
 
-// run sends perSecond requests to random hosts for d.
-func (f *limitedFleet) run(d clock.Millis, perSecond float64) {
-	for end := f.now + d; f.now < end; f.now++ {
-		for _, finish := range f.ends[f.now] {
-			finish()
-		}
-		delete(f.ends, f.now)
-		if f.now%100 == 0 {
-			for _, b := range f.hosts {
-				b.Tick(f.now)
-			}
-		}
-		if f.exchangeInterval > 0 && f.now%f.exchangeInterval == 0 {
-			f.exchange()
-		}
-		for n := perSecond / 1000; n > 0 && f.random.Float64() < n; n-- {
-			f.send(f.random.IntN(len(f.hosts)))
+// observe records the requests from hosts that a server has told of its limit.
+func (f *limitedFleet) observe() {
+	f.setLimits(limitStart, f.limits)
+	told := make(map[string]clock.Millis)
+	key := func(h *replayHost, server string) string { return fmt.Sprintf("%p %s", h, server) }
+	f.onSend = func(h *replayHost, server string) {
+		if at, ok := told[key(h, server)]; ok && f.now-at >= limitTellTime {
+			f.sent[server] = append(f.sent[server], f.now)
 		}
 	}
-}
-
-// exchange makes each host report its notices to all others.
-func (f *limitedFleet) exchange() {
-	for i, from := range f.hosts {
-		list := from.NoticesSince(f.now-2*f.exchangeInterval, f.now)
-		arrival := f.now + f.exchangeInterval - 1
-		f.ends[arrival] = append(f.ends[arrival], func() {
-			for j, to := range f.hosts {
-				if j != i {
-					to.ApplyNotices(list, arrival)
-				}
-			}
-		})
+	f.onResponse = func(h *replayHost, server string) {
+		if _, ok := told[key(h, server)]; !ok && f.servers[server].notice.Limit.Limited {
+			told[key(h, server)] = f.now
+		}
 	}
 }
 
-func (f *limitedFleet) send(host int) {
-	b := f.hosts[host]
-	req := Request{Service: "desk", Class: "look", Object: fmt.Sprint(f.random.IntN(200)), TargetLatency: 400, TimeLeft: 2000}
-	c := b.Choose(req, f.now)
-	if c.Refused {
-		f.refused++
-		return
-	}
-	f.served++
-	b.StartAttempt(c, req, f.now)
-	key := fmt.Sprintf("%d to %s", host, c.Server.ID)
-	if told, ok := f.told[key]; ok && f.now-told >= limitTellTime {
-		f.sent[c.Server.ID] = append(f.sent[c.Server.ID], f.now)
-	}
-	sentAt := f.now
-	end := f.now + f.serviceMs/2 + clock.Millis(f.random.IntN(int(f.serviceMs)))
-	f.ends[end] = append(f.ends[end], func() {
-		limit, limited := f.limits[c.Server.ID]
-		if _, ok := f.told[key]; limited && !ok {
-			f.told[key] = f.now
-		}
-		b.FinishAttempt(Attempt{
-			Choice: c, Class: "look", Result: Answered, Duration: f.now - sentAt, Notice: &Notice{Limit: RateLimit{Known: true, Limited: limited, PerSecond: limit}},
-		}, f.now)
+// setLimits schedules the limits that servers advertise from a time on; the others have none.
+func (f *limitedFleet) setLimits(at clock.Millis, limits map[string]float64) {
+	f.changeServers(at, func(_ int, info Server, s *replayServer) {
+		perSecond, limited := limits[info.ID]
+		s.notice.Limit = RateLimit{Known: true, Limited: limited, PerSecond: perSecond}
 	})
 }
 
-// assertLimit checks the requests that a server got from time since on.
-func (f *limitedFleet) assertLimit(t *testing.T, step, server string, since clock.Millis) {
+// assertLimits checks the requests until a time.
+func (f *limitedFleet) assertLimits(t *testing.T, until clock.Millis) {
 	t.Helper()
-	allowed := limitFactor*f.limits[server]*float64(limitWindow)/1000 + limitSlack
-	times := f.sent[server]
-	for i, start := range times {
-		n := 0
-		for _, at := range times[i:] {
-			if start >= since && at < start+limitWindow {
-				n++
+	for server, limit := range f.limits {
+		allowed := limitFactor*limit*float64(limitWindow)/1000 + limitSlack
+		times := f.sent[server]
+		for i, start := range times {
+			n := 0
+			for _, at := range times[i:] {
+				if start >= limitStart+limitContactTime && at < min(start+limitWindow, until) {
+					n++
+				}
 			}
-		}
-		if float64(n) > allowed {
-			t.Errorf("%s: server %s got %d requests in %d ms from %d ms on, at most %.1f are allowed by its limit of %v", step, server, n, limitWindow, start,
-				allowed, f.limits[server])
-			return
-		}
-	}
-}
-
-// forFleets runs test with fleets of several sizes and with reports at several intervals.
-func forFleets(servers int, intervals []clock.Millis, test func(name string, f *limitedFleet)) {
-	for seed := range uint64(4) {
-		for _, hosts := range []int{1, 4, 8, 40} {
-			for _, interval := range intervals {
-				f := newLimitedFleet(seed, hosts, servers)
-				f.exchangeInterval = interval
-				test(fmt.Sprintf("seed %d, %d hosts, reports each %d ms", seed, hosts, interval), f)
+			if float64(n) > allowed {
+				t.Errorf("%s: server %s got %d requests in %d ms from %d ms on, at most %.1f are allowed by its limit of %v", f.name, server, n, limitWindow,
+					start, allowed, limit)
+				break
 			}
 		}
 	}
@@ -169,67 +106,70 @@
 // TestServerLimitExceeded guards against a fleet that sends a server more requests than the
 // rate limit that it advertises.
 func TestServerLimitExceeded(t *testing.T) {
-	t.Run("some servers", func(t *testing.T) {
-		forFleets(8, []clock.Millis{0, 50, 1000}, func(name string, f *limitedFleet) {
-			f.run(3000, 120)
-			f.limits["s0"], f.limits["s1"], f.limits["s2"] = 4, f.random.Float64()*8, 0
-			namedAt := f.now
-			f.run(12000, 120)
-			for id := range f.limits {
-				f.assertLimit(t, name, id, namedAt+limitContactTime)
-			}
+	limits := map[string]float64{"n0": 4, "s0": 6.9, "n1": 0, "s1": 1.3}
+	steady := func(int, clock.Millis) float64 { return 120 }
+	t.Run("steady load, also without reports", func(t *testing.T) {
+		forFleets([]clock.Millis{50, 1000, 1 << 40}, limits, steady, func(f *limitedFleet) {
+			f.run()
+			f.assertLimits(t, replayEnd)
 		})
 	})
 	t.Run("after a time without requests", func(t *testing.T) {
-		forFleets(4, withReports, func(name string, f *limitedFleet) {
-			f.limits["s0"], f.limits["s1"] = 3, 5
-			namedAt := f.now
-			f.run(5000, 80)
-			f.run(noticeTTL+5000, 0)
-			f.run(8000, 80)
-			for id := range f.limits {
-				f.assertLimit(t, name, id, namedAt+limitContactTime)
+		paused := func(_ int, now clock.Millis) float64 {
+			if now > 5000 && now < 5000+noticeTTL+1000 {
+				return 0
 			}
+			return 120
+		}
+		forFleets(withReports, limits, paused, func(f *limitedFleet) {
+			f.run()
+			f.assertLimits(t, replayEnd)
 		})
 	})
 	t.Run("while half of the hosts are out of reach of the others", func(t *testing.T) {
-		forFleets(4, withReports, func(name string, f *limitedFleet) {
-			f.limits["s0"], f.limits["s1"] = 3, 5
-			namedAt := f.now
-			f.run(5000, 80)
-			for i, b := range f.hosts {
-				b.SetLiveHosts(LiveHosts{ByRegion: map[string]int{"r0": (len(f.hosts) + 3) / 4, "r1": len(f.hosts) / 4}, FleetIndex: i / 2, RegionIndex: i / 4, Preceding: map[string]int{"r0": (i + 3) / 4, "r1": i / 4}})
-			}
-			f.run(hostCountHold-1000, 80)
-			for id := range f.limits {
-				f.assertLimit(t, name, id, namedAt+limitContactTime)
-			}
+		forFleets(withReports, limits, steady, func(f *limitedFleet) {
+			f.schedule(8000, func() {
+				n, s := f.hostsByRegion["n"], f.hostsByRegion["s"]
+				for i, h := range f.hosts {
+					live := LiveHosts{ByRegion: map[string]int{"n": (n + 1) / 2, "s": s / 2}, FleetIndex: i / 2, RegionIndex: i % n / 2}
+					live.Preceding = map[string]int{"n": min(live.FleetIndex, live.ByRegion["n"])}
+					live.Preceding["s"] = live.FleetIndex - live.Preceding["n"]
+					h.balancer.SetLiveHosts(live)
+				}
+			})
+			f.run()
+			f.assertLimits(t, 8000+hostCountHold)
 		})
 	})
 }
 
-// The rate that servers take must be used, and a request is refused only if no server may
-// take it.
+// The rate that servers take must be used, and nothing is refused once the limits have ended.
 func TestServerLimitIsUsed(t *testing.T) {
-	forFleets(8, withReports, func(name string, f *limitedFleet) {
-		demand := math.Max(150, 20*float64(len(f.hosts)))
-		total := 0.0
-		for i := range 8 {
-			f.limits[fmt.Sprintf("s%d", i)] = float64(i + 2)
-			total += float64(i + 2)
+	const countedFrom, limitEnd, settled clock.Millis = 7000, 12000, 16000
+	limits, total := make(map[string]float64), 0.0
+	for i, s := range append(makeServers("n", 4, 4), makeServers("s", 4, 4)...) {
+		limits[s.ID] = float64(i + 2)
+		total += limits[s.ID]
+	}
+	demand := func(hosts int, now clock.Millis) float64 {
+		if now < limitEnd {
+			return math.Max(150, 20*float64(hosts))
 		}
-		f.run(4000, demand)
-		f.served = 0
-		f.run(10000, demand)
-		if ideal := total * 10; float64(f.served) < 0.85*ideal {
-			t.Errorf("%s: %d requests served of %.0f that the servers take, want 0.85 of them", name, f.served, ideal)
+		return 100
+	}
+	forFleets(withReports, limits, demand, func(f *limitedFleet) {
+		f.countFrom = 0
+		f.setLimits(limitEnd, nil)
+		servedBefore, served, refusedBefore := 0, 0, 0
+		f.schedule(countedFrom, func() { servedBefore = f.inTime + f.late })
+		f.schedule(limitEnd, func() { served = f.inTime + f.late - servedBefore })
+		f.schedule(settled, func() { refusedBefore = f.reasons[ReasonLimited] })
+		f.run()
+		if ideal := total * float64(limitEnd-countedFrom) / 1000; float64(served) < 0.85*ideal {
+			t.Errorf("%s: %d requests served of %.0f that the servers take, want 0.85 of them", f.name, served, ideal)
 		}
-		clear(f.limits)
-		f.run(5000, 100)
-		f.refused = 0
-		f.run(5000, 100)
-		if f.refused > 0 {
-			t.Errorf("%s: %d requests refused after the limits have ended", name, f.refused)
+		if n := f.reasons[ReasonLimited] - refusedBefore; n > 0 {
+			t.Errorf("%s: %d requests refused for a limit after the limits have ended", f.name, n)
 		}
 	})
 }
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -35,6 +35,11 @@
 	// RetryAfter.
 	retries   int
 	impatient bool
+	// onSend and onResponse are called when a host sends a request to a server and when it
+	// gets the response, if they are set.
+	onSend, onResponse func(h *replayHost, server string)
+	// reasons counts all refusals by reason.
+	reasons map[string]int
 	// countFrom is the time of arrival from which requests count in the results.
 	countFrom                    clock.Millis
 	total, inTime, late, refused int
@@ -143,7 +148,7 @@
 func newSizedReplay(size replaySize, load func(string, clock.Millis) float64) *replay {
 	r := &replay{
 		size: size, servers: make(map[string]*replayServer), serverList: size.serverList(), rng: rand.New(rand.NewPCG(replaySeed, 0)),
-		load: load, countFrom: replayWarmup, hostsByRegion: make(map[string]int),
+		load: load, countFrom: replayWarmup, reasons: make(map[string]int), hostsByRegion: make(map[string]int),
 	}
 	r.nextObject = func(region string) string { return fmt.Sprint(region, r.rng.IntN(size.objectsPerRegion)) }
 	for _, s := range r.serverList {
@@ -268,16 +273,23 @@
 	call.host.balancer.CountRequest("desk", r.now)
 	c := call.host.balancer.Choose(req, r.now)
 	if c.Refused {
+		r.reasons[c.Reason]++
 		r.retry(call, c.RetryAfter)
 		return
 	}
 	knownWarm := call.host.balancer.StartAttempt(c, req, r.now)
+	if r.onSend != nil {
+		r.onSend(call.host, c.Server.ID)
+	}
 	sent, rtt := r.now, r.rtt(call.host.region, c.Server.Region)
 	respond := func(result Result, then func()) {
 		notice := r.servers[c.Server.ID].notice
 		notice.Limit.Known = result == Answered || notice.Limit.Limited
 		r.schedule(rtt-rtt/2, func() {
 			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: knownWarm, Result: result, Duration: r.now - sent, Notice: &notice}, r.now)
+			if r.onResponse != nil {
+				r.onResponse(call.host, c.Server.ID)
+			}
 			then()
 		})
 	}
