Review case 3: a revoked key works again after a restore and a restart

Broken for the operator who revokes a key: if the store comes back from a copy from before the revocation while all hosts start, they accept the key until the operator has written the configuration again.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -8,7 +8,7 @@
 )
 
 func main() {
-	cases := map[string]func(*world){"upload": runUpload}
+	cases := map[string]func(*world){"upload": runUpload, "restore": runRestore}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-stand CASE FOLDER")
 		os.Exit(exitNotRun)
