--- a/review/_stand/restore.go
+++ b/review/_stand/restore.go
@@ -16,7 +16,7 @@
 const (
 	restoreCopyAge       = 9 * time.Second
 	restoreOutage        = 2 * time.Second
-	restoreOperatorDelay = time.Second
+	restoreOperatorDelay = 500 * time.Millisecond
 	restoreRevokeMax     = 5 * time.Second
 	validKey, revokedKey = "xd9dnn2ctnfzs989anu6", "wsjnbanfqasnmgkcuyj8"
 )
