steerer: log why a request is or is not retried

On-call engineers could not tell from logs why a request that a server had rejected was not sent to another one, nor by how many hosts the retry budget was divided.

Change: attempt_failed has the service, the verdict on a retry and, if the budget was asked, what was left of this host's part and the number of hosts that share it; metrics retries_allowed and retries_refused. No decision changes.

--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -393,7 +393,7 @@
 	h.balancer.CountRequest(service, now)
 }
 
-func (h *Host) allowRetry(service string) bool {
+func (h *Host) allowRetry(service string) rationer.RetryDecision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.cfg.Clock.Now()
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -211,7 +211,7 @@
 				events = append(events, event{now, false})
 			}
 			for range rapid.IntRange(0, 10).Draw(rt, "retries") {
-				if b.Allow("s", hosts, now) {
+				if b.Allow("s", hosts, now).Allowed {
 					events = append(events, event{now, true})
 				}
 			}
--- a/pkg/rationer/retries.go
+++ b/pkg/rationer/retries.go
@@ -45,9 +45,18 @@
 	c.requests[c.bin%retryBinCount]++
 }
 
-// Allow takes one retry from this host's part of the budget and reports whether
-// one was left. hosts is the number of hosts in the fleet.
-func (r *RetryBudget) Allow(service string, hosts int, now clock.Millis) bool {
+// RetryDecision is the answer to a request for a retry.
+type RetryDecision struct {
+	Allowed bool
+	// Left is the number of retries that this host's part of the budget allowed before the
+	// decision, and Hosts the number of hosts among which the slack was divided.
+	Left  float64
+	Hosts int
+}
+
+// Allow takes one retry from this host's part of the budget if one is left. hosts is the
+// number of hosts in the fleet.
+func (r *RetryBudget) Allow(service string, hosts int, now clock.Millis) RetryDecision {
 	c := r.countsAt(service, now)
 	var requests, retries float64
 	// The current bin is incomplete. Retries are counted over one bin more than
@@ -61,11 +70,11 @@
 		}
 	}
 	limit := retrySafetyFactor * (r.cfg.Ratio*requests + r.cfg.Slack/float64(max(1, hosts)))
-	if retries+1 > limit {
-		return false
+	d := RetryDecision{Allowed: retries+1 <= limit, Left: limit - retries, Hosts: hosts}
+	if d.Allowed {
+		c.retries[c.bin%retryBinCount]++
 	}
-	c.retries[c.bin%retryBinCount]++
-	return true
+	return d
 }
 
 // countsAt returns a service's counts after clearing the bins since the last call.
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -136,12 +137,17 @@
 }
 
 // logFailedAttempt logs and counts an attempt without a usable response.
-func (s *Steerer) logFailedAttempt(c *call, result balancer.Result, resp *courier.Response, err error) {
+func (s *Steerer) logFailedAttempt(c *call, result balancer.Result, resp *courier.Response, err error, retry retryCheck) {
 	status := 0
 	if resp != nil {
 		status = resp.Status
 	}
 	s.cfg.Meter.Add("attempts_"+result.String(), 1)
-	s.cfg.Log.Warn().Str("request", c.id).Str("server", c.choice.Server.ID).Str("result", result.String()).
-		Int("status", status).Err(err).Int("load", c.choice.InFlight).Int64("left_ms", int64(s.timeLeft(c))).Msg("attempt_failed")
+	event := s.cfg.Log.Warn().Str("request", c.id).Str("server", c.choice.Server.ID).Str("result", result.String()).
+		Int("status", status).Err(err).Int("load", c.choice.InFlight).Int64("left_ms", int64(s.timeLeft(c))).
+		Str("service", c.service).Str("retry", string(retry.verdict))
+	if retry.budget != nil {
+		event = event.Float64("budget_left", math.Round(retry.budget.Left*10)/10).Int("budget_hosts", retry.budget.Hosts)
+	}
+	event.Msg("attempt_failed")
 }
--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -20,6 +20,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/meter"
+	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/screener"
 )
 
@@ -84,7 +85,7 @@
 			return balancer.Choice{Server: balancer.Server{ID: id, Address: strings.TrimPrefix(server.URL, "http://")}}, false
 		},
 		RecordAttempt: func(balancer.Attempt) bool { return false }, CountRequest: func(string) {},
-		AllowRetry: func(string) bool { return true }, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
+		AllowRetry: func(string) rationer.RetryDecision { return rationer.RetryDecision{Allowed: true} }, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
 		CallerLeft: screener.HasDisconnected, Leaving: func() bool { return false }, Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -21,6 +21,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/meter"
+	"catkindyke/pkg/rationer"
 )
 
 const (
@@ -88,7 +89,7 @@
 	// CountRequest counts a request for a service.
 	CountRequest func(service string)
 	// AllowRetry takes one retry from a service's budget.
-	AllowRetry func(service string) bool
+	AllowRetry func(service string) rationer.RetryDecision
 	// Send sends a request to a server.
 	Send func(ctx context.Context, target courier.Target, req *courier.Request) (*courier.Response, error)
 	// SplitPoint returns a number in [0, 1) that selects a service of a weighted split.
@@ -362,11 +363,17 @@
 		if resp != nil && result == balancer.Failed {
 			lastFailure = resp
 		}
-		s.logFailedAttempt(c, result, resp, err)
-		if c.r.Context().Err() != nil {
+		callerLeft := c.r.Context().Err() != nil
+		retry := retryCheck{verdict: retryUnwanted}
+		if !callerLeft {
+			retry = s.checkRetry(c, result, err)
+		}
+		s.logFailedAttempt(c, result, resp, err, retry)
+		if callerLeft {
 			return nil, c.abandon(err)
 		}
-		if ref := s.checkRetry(c, result, err); ref != nil {
+		if retry.verdict != retryAllowed {
+			ref := &refusal{http.StatusServiceUnavailable, "shed", otherHostRetryAfter}
 			if lastFailure != nil {
 				return lastFailure, nil
 			}
@@ -479,24 +486,45 @@
 	}
 }
 
-// checkRetry returns nil if the request may be sent to another server, and the
-// refusal for the caller otherwise.
-func (s *Steerer) checkRetry(c *call, result balancer.Result, err error) *refusal {
-	ref := &refusal{http.StatusServiceUnavailable, "shed", otherHostRetryAfter}
+// retryVerdict is the reason for which a request may or may not be sent to another server.
+type retryVerdict string
+
+const (
+	retryAllowed    retryVerdict = "allowed"
+	retryUnwanted   retryVerdict = "caller_left"
+	retryUnsafe     retryVerdict = "not_repeatable"
+	retryExhausted  retryVerdict = "attempts_used"
+	retryOverBudget retryVerdict = "over_budget"
+)
+
+// retryCheck is the result of checkRetry. The budget is nil if it was not asked.
+type retryCheck struct {
+	verdict retryVerdict
+	budget  *rationer.RetryDecision
+}
+
+// checkRetry checks whether the request may be sent to another server.
+func (s *Steerer) checkRetry(c *call, result balancer.Result, err error) retryCheck {
 	if attemptMayHaveRun(result, err) && !c.route.IsIdempotent() {
-		return ref
+		return retryCheck{verdict: retryUnsafe}
 	}
 	if c.stream != nil && c.sentAttempts > 0 {
-		return ref // the body was consumed
+		return retryCheck{verdict: retryUnsafe} // the body was consumed
 	}
 	if errors.Is(err, courier.ErrNotSent) {
 		if c.unsentAttempts >= maxUnsentAttempts {
-			return ref
+			return retryCheck{verdict: retryExhausted}
 		}
-		return nil
+		return retryCheck{verdict: retryAllowed}
 	}
-	if c.sentAttempts >= c.route.MaxAttempts || !s.cfg.AllowRetry(c.service) {
-		return ref
+	if c.sentAttempts >= c.route.MaxAttempts {
+		return retryCheck{verdict: retryExhausted}
 	}
-	return nil
+	budget := s.cfg.AllowRetry(c.service)
+	if !budget.Allowed {
+		s.cfg.Meter.Add("retries_refused", 1)
+		return retryCheck{retryOverBudget, &budget}
+	}
+	s.cfg.Meter.Add("retries_allowed", 1)
+	return retryCheck{retryAllowed, &budget}
 }
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -20,6 +20,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/meter"
+	"catkindyke/pkg/rationer"
 )
 
 var headers = Headers{
@@ -89,7 +90,10 @@
 			return a.Notice != nil && a.Notice.Limit.Limited
 		},
 		CountRequest: func(string) {},
-		AllowRetry:   func(string) bool { f.retryBudget--; return f.retryBudget >= 0 },
+		AllowRetry: func(string) rationer.RetryDecision {
+			f.retryBudget--
+			return rationer.RetryDecision{Allowed: f.retryBudget >= 0}
+		},
 		Send: func(_ context.Context, target courier.Target, req *courier.Request) (*courier.Response, error) {
 			n := len(f.attemptedServers)
 			f.attemptedServers = append(f.attemptedServers, target.ID)
