hoster: failing test for the exceeded retry budget

TestRetryBudgetExceeded plays a fleet of ten hosts whose servers reject requests, and checks each window of 10 s against the budget.

--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -38,6 +38,18 @@
 
 func (unreachableClient) DRPCConn() drpc.Conn { return nil }
 
+// start starts a host. It takes the place of an earlier one of the same name.
+func (n *testNetwork) start(ctx context.Context, name string) *Host {
+	n.hosts[name] = New(ctx, Config{
+		Name: name, Region: "r" + name[:1], AvailabilityZone: "z" + name[:1], CallerAddress: name + ":1", PeerAddress: name + ":2",
+		Headers: steerer.Headers{}, MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 50},
+		ShiftRate: 0.02, LookupTTL: 2000, ObjectKinds: []string{"servers"},
+		DialPeer: func(context.Context, string) schema.DRPCFleetClient { return unreachableClient{} },
+		Clock:    n.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
+	})
+	return n.hosts[name]
+}
+
 func withHosts(t *testing.T, names []string, test func(n *testNetwork, h map[string]*Host)) {
 	t.Helper()
 	n := &testNetwork{clock: &clock.Manual{}, hosts: make(map[string]*Host)}
@@ -45,13 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, name := range names {
-		n.hosts[name] = New(ctx, Config{
-			Name: name, Region: "r" + name[:1], AvailabilityZone: "z" + name[:1], CallerAddress: name + ":1", PeerAddress: name + ":2",
-			Headers: steerer.Headers{}, MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 50},
-			ShiftRate: 0.02, LookupTTL: 2000, ObjectKinds: []string{"servers"},
-			DialPeer: func(context.Context, string) schema.DRPCFleetClient { return unreachableClient{} },
-			Clock:    n.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
-		})
+		n.start(ctx, name)
 	}
 	test(n, n.hosts)
 }
--- /dev/null
+++ b/pkg/hoster/retry_known_red_test.go
@@ -0,0 +1,164 @@
+//go:build known_red
+
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"catkindyke/pkg/clock"
+)
+
+const (
+	retryStep      clock.Millis = 100
+	retryTestHosts              = 10
+	// requestsPerStep is the number of callers' requests in a step, of the whole fleet.
+	requestsPerStep = 16
+)
+
+// retryFleet is a fleet whose servers reject requests, so that hosts retry as often as their
+// budget allows.
+type retryFleet struct {
+	network *testNetwork
+	ctx     context.Context
+	names   []string
+	// running holds the names of the hosts that run, and side the part of a partition in
+	// which a host is.
+	running []string
+	side    map[string]int
+	// requests and retries count those of the whole fleet by step.
+	requests, retries []int
+}
+
+func withRetryFleet(t *testing.T, test func(f *retryFleet)) {
+	t.Helper()
+	withHosts(t, nil, func(n *testNetwork, _ map[string]*Host) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f := &retryFleet{network: n, ctx: ctx, side: make(map[string]int)}
+		for i := range retryTestHosts {
+			f.names = append(f.names, fmt.Sprintf("a%d", i))
+		}
+		test(f)
+	})
+}
+
+// start starts processes, which read the entries of all hosts in the store.
+func (f *retryFleet) start(names []string) {
+	for _, name := range names {
+		h := f.network.start(f.ctx, name)
+		makeReady(h, 1)
+		for _, other := range f.names {
+			h.Feed().SetHost(other, other+":2")
+		}
+		f.running = append(f.running, name)
+	}
+}
+
+func (f *retryFleet) stop(names []string) {
+	f.running = slices.DeleteFunc(f.running, func(name string) bool { return slices.Contains(names, name) })
+}
+
+// run plays requests for a time, the servers of which reject them or not.
+func (f *retryFleet) run(d clock.Millis, rejected bool) {
+	for range d / retryStep {
+		f.network.clock.Advance(retryStep)
+		for i, name := range f.running {
+			for _, other := range f.running[i+1:] {
+				if f.side[name] == f.side[other] {
+					exchangeReports(f.network.hosts[name], f.network.hosts[other])
+				}
+			}
+		}
+		requests, retries := 0, 0
+		for i := range requestsPerStep {
+			if len(f.running) == 0 {
+				break
+			}
+			h := f.network.hosts[f.running[(len(f.requests)*requestsPerStep+i)%len(f.running)]]
+			h.countRequest("desk")
+			requests++
+			for range 2 {
+				if rejected && h.allowRetry("desk").Allowed {
+					retries++
+				}
+			}
+		}
+		f.requests, f.retries = append(f.requests, requests), append(f.retries, retries)
+	}
+}
+
+// assertWithinBudget fails the test if the fleet's retries exceed the budget in some window.
+func (f *retryFleet) assertWithinBudget(t *testing.T) {
+	t.Helper()
+	cfg := f.network.hosts[f.names[0]].cfg.RetryBudget
+	window := int(cfg.Window / retryStep)
+	for from := 0; from+window <= len(f.requests); from++ {
+		requests, retries := 0, 0
+		for i := from; i < from+window; i++ {
+			requests += f.requests[i]
+			retries += f.retries[i]
+		}
+		if most := cfg.Ratio*float64(requests) + cfg.Slack; float64(retries) > most {
+			t.Fatalf("%d retries of %d requests in the window from %d ms on, want at most %.0f",
+				retries, requests, clock.Millis(from)*retryStep, most)
+		}
+	}
+}
+
+// TestRetryBudgetExceeded guards against hosts that spend parts of the retry budget that
+// others have spent or hold.
+func TestRetryBudgetExceeded(t *testing.T) {
+	const calm, trouble = 10 * clock.Second, 4 * clock.Second
+	cases := []struct {
+		name string
+		play func(f *retryFleet)
+	}{
+		{"all hosts restart", func(f *retryFleet) {
+			f.stop(f.names)
+			f.run(500, true)
+			f.start(f.names)
+		}},
+		{"hosts restart in turn", func(f *retryFleet) {
+			for _, name := range f.names {
+				f.stop([]string{name})
+				f.run(500, true)
+				f.start([]string{name})
+			}
+		}},
+		{"hosts leave", func(f *retryFleet) { f.stop(f.names[:6]) }},
+		{"hosts leave one after the other", func(f *retryFleet) {
+			for _, name := range f.names[1:] {
+				f.stop([]string{name})
+				f.run(500, true)
+			}
+		}},
+		{"one host is cut off from each of the others", func(f *retryFleet) {
+			for i, name := range f.names {
+				f.side[name] = i
+			}
+		}},
+		{"hosts restart, and hear nothing from others", func(f *retryFleet) {
+			f.run(12*clock.Second, false)
+			f.stop(f.names)
+			for i, name := range f.names {
+				f.side[name] = i
+			}
+			f.start(f.names)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withRetryFleet(t, func(f *retryFleet) {
+				f.start(f.names)
+				f.run(calm, false)
+				f.run(trouble, true)
+				c.play(f)
+				f.run(12*clock.Second, true)
+				f.assertWithinBudget(t)
+			})
+		})
+	}
+}
