rationer: pay for retries with requests of the same time

What callers saw: nothing at first; servers in trouble got more retries than the budget allows (BUDGET), where hosts restart or leave meanwhile.

Cause: a host spent at once what its requests of the last 10 s allowed. A window in which it stops holds those retries, and in addition the retries that its callers' next requests pay for at other hosts or at the next process, which counts from 0. The class of fault is credit that is lost from memory with its debt.

Ruled out: requests sent again without being counted (the decisions in the logs cover all repeated arrivals). Weighed: a process that waits a window after its start, and hosts that tell each other what they have spent. The first leaves hosts that leave unsolved, the second is as old as the reports (seconds in a large fleet) and gone when all hosts restart.

Change: a token bucket for each service. A request adds 0.2 tokens, and the bucket holds no more than the host's part of the slack. All retries of a window but what was saved up are paid for by requests in it, whoever leaves, and a process starts with nothing. The window of the budget is no longer a setting that hosts need.

TestRetryBudget has hosts that start again and leave.

--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -389,15 +389,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.cfg.Clock.Now()
-	h.retryBudget.CountRequest(service, now)
+	h.retryBudget.SetHosts(h.fleet.liveCount(now))
+	h.retryBudget.CountRequest(service)
 	h.balancer.CountRequest(service, now)
 }
 
 func (h *Host) allowRetry(service string) rationer.RetryDecision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := h.cfg.Clock.Now()
-	return h.retryBudget.Allow(service, h.fleet.liveCount(now), now)
+	h.retryBudget.SetHosts(h.fleet.liveCount(h.cfg.Clock.Now()))
+	return h.retryBudget.Allow(service)
 }
 
 // goldenRatio is the step of a low-discrepancy sequence in the unit interval. With
--- a/pkg/hoster/retry_known_red_test.go
+++ b/pkg/hoster/retry_known_red_test.go
@@ -94,7 +94,7 @@
 func (f *retryFleet) assertWithinBudget(t *testing.T) {
 	t.Helper()
 	cfg := f.network.hosts[f.names[0]].cfg.RetryBudget
-	window := int(cfg.Window / retryStep)
+	const window = int(10 * clock.Second / retryStep)
 	for from := 0; from+window <= len(f.requests); from++ {
 		requests, retries := 0, 0
 		for i := from; i < from+window; i++ {
@@ -148,6 +148,25 @@
 			}
 			f.start(f.names)
 		}},
+		{"hosts are cut off before the trouble", func(f *retryFleet) {
+			f.run(12*clock.Second, false)
+			for i, name := range f.names {
+				f.side[name] = i
+			}
+			f.run(8*clock.Second, false)
+		}},
+		{"most hosts are away before the trouble, and return", func(f *retryFleet) {
+			f.stop(f.names[1:])
+			f.run(20*clock.Second, false)
+			f.run(clock.Second, true)
+			f.start(f.names[1:])
+		}},
+		{"half of the hosts are added before the trouble", func(f *retryFleet) {
+			f.stop(f.names[5:])
+			f.run(20*clock.Second, false)
+			f.start(f.names[5:])
+			f.run(2*clock.Second, false)
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -188,15 +188,24 @@
 	}
 }
 
-// All hosts together send no more retries than the budget allows.
+// All hosts together send no more retries than the budget allows, also when hosts start
+// again or leave.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		cfg := RetryConfig{Ratio: 0.2, Window: 10000, Slack: 56}
+		cfg := RetryConfig{Ratio: 0.2, Slack: 56}
+		const window clock.Millis = 10000
 		hosts := rapid.IntRange(1, 12).Draw(rt, "hosts")
 		var budgets []*RetryBudget
+		start := func() *RetryBudget {
+			b := NewRetryBudget(cfg)
+			b.SetHosts(hosts)
+			return b
+		}
 		for range hosts {
-			budgets = append(budgets, NewRetryBudget(cfg))
+			budgets = append(budgets, start())
 		}
+		// A host that has left gets no requests; when it starts, its budget is a new one.
+		left := make([]bool, hosts)
 		type event struct {
 			at      clock.Millis
 			isRetry bool
@@ -205,13 +214,23 @@
 		now := clock.Millis(5000)
 		for range 400 {
 			now += clock.Millis(rapid.IntRange(0, 200).Draw(rt, "pause"))
-			b := budgets[rapid.IntRange(0, hosts-1).Draw(rt, "host")]
+			i := rapid.IntRange(0, hosts-1).Draw(rt, "host")
+			switch rapid.SampledFrom([]string{"serves", "serves", "serves", "serves", "starts", "leaves"}).Draw(rt, "change") {
+			case "starts":
+				budgets[i], left[i] = start(), false
+			case "leaves":
+				left[i] = true
+			}
+			if left[i] {
+				continue
+			}
+			b := budgets[i]
 			for range rapid.IntRange(0, 5).Draw(rt, "requests") {
-				b.CountRequest("s", now)
+				b.CountRequest("s")
 				events = append(events, event{now, false})
 			}
 			for range rapid.IntRange(0, 10).Draw(rt, "retries") {
-				if b.Allow("s", hosts, now).Allowed {
+				if b.Allow("s").Allowed {
 					events = append(events, event{now, true})
 				}
 			}
@@ -224,7 +243,7 @@
 			} else {
 				requests++
 			}
-			for events[first].at <= e.at-cfg.Window {
+			for events[first].at <= e.at-window {
 				if events[first].isRetry {
 					retries--
 				} else {
