hoster: divide the slack of the retry budget among all known hosts

What callers saw: nothing at first; servers in trouble got more retries than the budget allows (BUDGET) from hosts that were cut off from each other.

Cause: the slack was divided among the hosts that count as live. A host that others do not hear may still serve, and divides by fewer itself; one that has just started knew no others and took all of it. The class of fault is a part of something shared that follows from who can be heard at the moment.

The logs show divisions by 5 and 6 of 11 hosts while half of them are cut off, and by 2 to 9 right after a start. Test, before: 380 retries in 10 s, allowed 370, if hosts lose each other before the trouble; with the earlier window 384.

Ruled out: parts that grow when a host has been silent for some time, as those of rates do. Nothing bounds a partition in time, and a larger part is worth little: it is what a host may save up, not what it gets each second.

Change: the slack is divided by the number of hosts that were announced in the store or have ever reported. Before the list of hosts is known, a host has no part.

--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -70,6 +70,9 @@
 	members     map[string]*member
 	// announcedAddresses are the peer addresses in the store, by host name.
 	announcedAddresses map[string]string
+	// known is the number of hosts that were ever announced or have reported, including
+	// this one.
+	known int
 	// sentReports is a ring buffer of this host's last reports, indexed by sequence
 	// number.
 	sentReports [maxSentReports]sentReport
@@ -220,17 +223,33 @@
 }
 
 func newFleet(cfg Config, incarnation uint64) *fleet {
-	return &fleet{cfg: cfg, incarnation: incarnation, members: make(map[string]*member), announcedAddresses: make(map[string]string)}
+	return &fleet{cfg: cfg, incarnation: incarnation, known: 1, members: make(map[string]*member), announcedAddresses: make(map[string]string)}
 }
 
 func (f *fleet) recordAnnouncement(name, address string) (oldAddress string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	oldAddress = f.announcedAddresses[name]
+	f.countKnown(name)
 	f.announcedAddresses[name] = address
 	return oldAddress
 }
 
+// countKnown counts a host that is announced or reports for the first time.
+func (f *fleet) countKnown(name string) {
+	if _, announced := f.announcedAddresses[name]; !announced && f.members[name] == nil {
+		f.known++
+	}
+}
+
+// knownCount returns the number of hosts that were ever announced or have reported,
+// including this one. A silent host counts, since it may be cut off and still serve.
+func (f *fleet) knownCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
 // recordReport records a report and returns whether it is newer than the last one.
 // oldPeerAddress is the previous peer address of the host if that has changed.
 func (f *fleet) recordReport(r *schema.HostReport, now clock.Millis) (oldPeerAddress string, newer bool) {
@@ -238,6 +257,7 @@
 	defer f.mu.Unlock()
 	m := f.members[r.GetName()]
 	if m == nil {
+		f.countKnown(r.GetName())
 		m = &member{name: r.GetName()}
 		f.members[r.GetName()] = m
 	}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -389,7 +389,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.cfg.Clock.Now()
-	h.retryBudget.SetHosts(h.fleet.liveCount(now))
+	h.retryBudget.SetHosts(h.sharingHosts())
 	h.retryBudget.CountRequest(service)
 	h.balancer.CountRequest(service, now)
 }
@@ -397,10 +397,19 @@
 func (h *Host) allowRetry(service string) rationer.RetryDecision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.retryBudget.SetHosts(h.fleet.liveCount(h.cfg.Clock.Now()))
+	h.retryBudget.SetHosts(h.sharingHosts())
 	return h.retryBudget.Allow(service)
 }
 
+// sharingHosts returns the number of hosts among which the fixed part of the retry budget
+// is divided, or 0 before the list of hosts is known.
+func (h *Host) sharingHosts() int {
+	if !h.hostsListed.Load() {
+		return 0
+	}
+	return h.fleet.knownCount()
+}
+
 // goldenRatio is the step of a low-discrepancy sequence in the unit interval. With
 // it, every short run of requests is split close to the weights.
 const goldenRatio = 0.6180339887498949
