hoster: hosts that the store names count as live until they have had time to report

What callers saw: nothing yet. A cold server would get more requests than it bears right after a start of many hosts (FAILBACK). Found while looking for the cause of the exceeded retry budget elsewhere.

Cause: parts of what cold servers and servers with rate limits may get follow from the hosts that count as live, and a process that has just started knew only itself: it took the first place and the whole rate, also of servers in regions whose hosts it had not heard yet.

Evidence: TestColdServerFloodedAfterRestart, 60 hosts in three regions that have read the store and not yet exchanged reports: 60 requests to one cold server, at most 20 allowed. It passes now.

Change: the entry of a host in the store, which has its region, makes it a live member for as long as a report would (1.5 s). It is not named in look-ups and gets no placements before it has reported. Rates already counted announced hosts.

--- a/pkg/hoster/checks_test.go
+++ b/pkg/hoster/checks_test.go
@@ -72,7 +72,7 @@
 		for _, h := range hosts {
 			makeReady(h, 1)
 			for _, other := range hosts {
-				h.Feed().SetHost(other.cfg.Name, other.cfg.PeerAddress)
+				h.Feed().SetHost(other.cfg.Name, other.cfg.Region, other.cfg.PeerAddress)
 			}
 		}
 		test(hosts)
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -55,7 +55,7 @@
 	SetEvacuation      func(zone string, active bool)
 	// SetHost records the entry of a host, HostsListed that all entries were passed
 	// on.
-	SetHost     func(name, peerAddress string)
+	SetHost     func(name, region, peerAddress string)
 	HostsListed func()
 }
 
@@ -88,7 +88,7 @@
 		IsUpToDate:         h.isUpToDate,
 		ReplaceEvacuations: func(zones []string) { h.apply(func() { h.replaceEvacuations(zones) }) },
 		SetEvacuation:      func(zone string, active bool) { h.apply(func() { h.setEvacuation(zone, active); h.publishServers() }) },
-		SetHost:            func(name, address string) { h.apply(func() { h.setHost(name, address) }) },
+		SetHost:            func(name, region, address string) { h.apply(func() { h.setHost(name, region, address) }) },
 		HostsListed:        func() { h.hostsListed.Store(true) },
 	}
 }
@@ -294,11 +294,11 @@
 	h.balancer.SetServers(list)
 }
 
-func (h *Host) setHost(name, address string) {
+func (h *Host) setHost(name, region, address string) {
 	if name == h.cfg.Name {
 		return
 	}
-	if old := h.fleet.recordAnnouncement(name, address); old != "" && old != address {
+	if old := h.fleet.recordAnnouncement(name, region, address, h.cfg.Clock.Now()); old != "" && old != address {
 		h.gossiper.RemovePeer(old)
 	}
 	h.gossiper.AddPeer(address)
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -37,12 +37,15 @@
 	placementSenders = 2
 )
 
-// member is the state of another host, as it last reported it.
+// member is the state of another host, as it last reported it, or as it is announced in
+// the store if it has not.
 type member struct {
 	name, region, zone, callerAddress, peerAddress string
-	incarnation, sequence                          uint64
-	ready, leaving, storeLost                      bool
-	lastReportAt                                   clock.Millis
+	// incarnation is 0 until the host has reported.
+	incarnation, sequence     uint64
+	ready, leaving, storeLost bool
+	// lastReportAt is the time of the last report, or of the announcement if there was none.
+	lastReportAt clock.Millis
 	// reportInterval is the moving average of the time between reports.
 	reportInterval float64
 	// revisions are the store revisions that the host knew.
@@ -70,9 +73,6 @@
 	members     map[string]*member
 	// announcedAddresses are the peer addresses in the store, by host name.
 	announcedAddresses map[string]string
-	// known is the number of hosts that were ever announced or have reported, including
-	// this one.
-	known int
 	// sentReports is a ring buffer of this host's last reports, indexed by sequence
 	// number.
 	sentReports [maxSentReports]sentReport
@@ -198,7 +198,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[name]
-	if m == nil || m.region != f.cfg.Region {
+	if m == nil || m.incarnation == 0 || m.region != f.cfg.Region {
 		return false, false
 	}
 	if m.placementsSequence == 0 {
@@ -223,23 +223,20 @@
 }
 
 func newFleet(cfg Config, incarnation uint64) *fleet {
-	return &fleet{cfg: cfg, incarnation: incarnation, known: 1, members: make(map[string]*member), announcedAddresses: make(map[string]string)}
+	return &fleet{cfg: cfg, incarnation: incarnation, members: make(map[string]*member), announcedAddresses: make(map[string]string)}
 }
 
-func (f *fleet) recordAnnouncement(name, address string) (oldAddress string) {
+// recordAnnouncement records the entry of a host in the store. The host counts as live until
+// it has had time to report: a host that starts must not take itself for the only one.
+func (f *fleet) recordAnnouncement(name, region, address string, now clock.Millis) (oldAddress string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	oldAddress = f.announcedAddresses[name]
-	f.countKnown(name)
 	f.announcedAddresses[name] = address
-	return oldAddress
-}
-
-// countKnown counts a host that is announced or reports for the first time.
-func (f *fleet) countKnown(name string) {
-	if _, announced := f.announcedAddresses[name]; !announced && f.members[name] == nil {
-		f.known++
+	if f.members[name] == nil {
+		f.members[name] = &member{name: name, region: region, lastReportAt: now}
 	}
+	return oldAddress
 }
 
 // knownCount returns the number of hosts that were ever announced or have reported,
@@ -247,7 +244,7 @@
 func (f *fleet) knownCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.known
+	return len(f.members) + 1
 }
 
 // recordReport records a report and returns whether it is newer than the last one.
@@ -257,13 +254,13 @@
 	defer f.mu.Unlock()
 	m := f.members[r.GetName()]
 	if m == nil {
-		f.countKnown(r.GetName())
 		m = &member{name: r.GetName()}
 		f.members[r.GetName()] = m
 	}
 	if r.GetIncarnation() < m.incarnation || (r.GetIncarnation() == m.incarnation && r.GetSequence() <= m.sequence) {
 		return "", false
 	}
+	hasReported := m.incarnation != 0
 	if m.peerAddress != r.GetPeerAddress() {
 		oldPeerAddress = m.peerAddress
 	}
@@ -275,7 +272,7 @@
 		m.ackedSequence = r.GetEchoSequence()
 	}
 	m.region, m.zone, m.callerAddress, m.peerAddress = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
-	if m.lastReportAt > 0 && m.isLive(now) {
+	if hasReported && m.isLive(now) {
 		m.reportInterval += intervalWeight * (float64(now-m.lastReportAt) - m.reportInterval)
 	}
 	m.ready, m.leaving, m.storeLost, m.lastReportAt = r.GetReady(), r.GetLeaving(), r.GetStoreLost(), now
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -43,7 +43,7 @@
 	n.hosts[name] = New(ctx, Config{
 		Name: name, Region: "r" + name[:1], AvailabilityZone: "z" + name[:1], CallerAddress: name + ":1", PeerAddress: name + ":2",
 		Headers: steerer.Headers{}, MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Slack: 50},
-		ShiftRate: 0.02, LookupTTL: 2000, ObjectKinds: []string{"servers"},
+		ShiftRate: 0.02, ColdSenders: 4, LookupTTL: 2000, ObjectKinds: []string{"servers"},
 		DialPeer: func(context.Context, string) schema.DRPCFleetClient { return unreachableClient{} },
 		Clock:    n.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
 	})
@@ -587,3 +587,34 @@
 		assertReady(t, "with the newer configuration", b, true)
 	})
 }
+
+// TestColdServerFloodedAfterRestart guards against hosts that start together, each take
+// themselves for the only one, and all send to the same cold server.
+func TestColdServerFloodedAfterRestart(t *testing.T) {
+	var names []string
+	for i := range 60 {
+		names = append(names, fmt.Sprintf("%c%02d", 'a'+i%3, i))
+	}
+	withHosts(t, names, func(_ *testNetwork, hosts map[string]*Host) {
+		cold := testServer("s1", "za")
+		cold.RemainingColdTime = 3000
+		sent := 0
+		for _, name := range names {
+			h := hosts[name]
+			makeReady(h, 1, cold)
+			for _, other := range names {
+				h.Feed().SetHost(other, "r"+other[:1], other+":2")
+			}
+			h.tick()
+			for range 3 {
+				c, _ := h.chooseServer(balancer.Request{Service: "desk", Class: "p", TargetLatency: 250, TimeLeft: 800})
+				if !c.Refused {
+					sent++
+				}
+			}
+		}
+		if most := 1.5*10.0 + 5; float64(sent) > most {
+			t.Errorf("%d requests to a cold server with a rate of 10 right after the start, want at most %.0f", sent, most)
+		}
+	})
+}
--- a/pkg/hoster/retry_test.go
+++ b/pkg/hoster/retry_test.go
@@ -49,7 +49,7 @@
 		h := f.network.start(f.ctx, name)
 		makeReady(h, 1)
 		for _, other := range f.names {
-			h.Feed().SetHost(other, other+":2")
+			h.Feed().SetHost(other, "r"+other[:1], other+":2")
 		}
 		f.running = append(f.running, name)
 	}
