host: refuse requests late in a planned stop instead of cutting them

What callers saw (a report from another operator, in a planned stop of one host, in calm): requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them some that may not be repeated (LOST).

Cause, here: a request whose header or body ended after the lame-duck period was sent to a server, whatever time the host had left; and http.Server.Shutdown closes a connection whose request it reads after that without an answer, so that a caller can't know whether it ran.

Evidence: TestStopCutsLateRequests, a host with a grace period of 8 s and a server that does not respond: callers whose connection was accepted before the stop send the rest of a request 3.5 s after its start. Before: no response for no byte and half a header sent before, and a request with half a body reached the server and got 504 after its timeout. Now: 503 with Retry-After, three of three. TestLateRequestSentDuringStop has the decisions; it can't be built against the earlier code.

Change: from the end of the lame-duck period on, a request that no server has got is refused at once, with the advice to come back soon, as another host serves it. Before that, one that may not be repeated is refused if its response is expected after the end. The listener and idle connections are closed as before, and requests that are not read yet are answered.

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,8 @@
 	// lameDuckPeriod is how long a stopping host still accepts new connections from
 	// callers with cached look-up answers.
 	lameDuckPeriod = 3 * time.Second
+	// drainPollInterval is the interval at which a stopping host looks for open connections.
+	drainPollInterval = 10 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory limit that the Go runtime may
 	// use. Kernel buffers need the rest.
 	memoryLimitFraction = 0.7
@@ -133,14 +136,14 @@
 		}
 	}()
 	go syncer.Run(hostCtx)
-	servers, err := listenHTTP(settings, h, metrics, log)
+	callers, err := listenHTTP(settings, h, metrics, log)
 	if err != nil {
 		return err
 	}
 	log.Info().Str("region", settings.Region).Str("zone", settings.AvailabilityZone).
 		Str("caller_address", settings.CallerAddress).Msg("host_started")
 	<-ctx.Done()
-	stopHost(settings, h, servers, log)
+	stopHost(settings, h, callers, log)
 	return nil
 }
 
@@ -166,9 +169,44 @@
 	}()
 }
 
-// listenHTTP starts the servers for callers, look-ups, readiness and metrics. The
-// first one returned is the server for callers.
-func listenHTTP(settings platform.Settings, h *hoster.Host, metrics *meter.Meter, log zerolog.Logger) ([]*http.Server, error) {
+// callerServer is the HTTP server for callers.
+type callerServer struct {
+	server    *http.Server
+	listener  net.Listener
+	openConns atomic.Int64
+}
+
+// trackConn counts the open connections; it is a hook of http.Server.
+func (s *callerServer) trackConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.openConns.Add(-1)
+	}
+}
+
+// drain accepts no further connections and waits until the open ones have ended. Unlike
+// http.Server.Shutdown, it leaves requests that are not read yet to the handler, which
+// answers them. It reports whether no connection is left.
+func (s *callerServer) drain(ctx context.Context) bool {
+	_ = s.listener.Close()
+	s.server.SetKeepAlivesEnabled(false)
+	poll := time.NewTicker(drainPollInterval)
+	defer poll.Stop()
+	for s.openConns.Load() > 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// listenHTTP starts the servers for callers, look-ups, readiness and metrics, and returns the
+// first one.
+func listenHTTP(settings platform.Settings, h *hoster.Host, metrics *meter.Meter, log zerolog.Logger) (*callerServer, error) {
 	handlers := []struct {
 		address string
 		handler http.Handler
@@ -182,7 +220,7 @@
 		metrics.Add("headers_refused", 1)
 		log.Warn().Str("caller", remote).Str("reason", reason).Msg("request_refused_by_header")
 	}})
-	var servers []*http.Server
+	var callers *callerServer
 	for i, l := range handlers {
 		if l.address == "" {
 			continue
@@ -198,15 +236,16 @@
 		if i == 0 {
 			headerScreener.Install(server)
 			listener = headerScreener.WrapListener(listener)
+			callers = &callerServer{server: server, listener: listener}
+			server.ConnState = callers.trackConn
 		}
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				log.Error().Str("address", l.address).Err(err).Msg("listener_failed")
 			}
 		}()
-		servers = append(servers, server)
 	}
-	return servers, nil
+	return callers, nil
 }
 
 // httpErrorLog forwards the error log of net/http at debug level.
@@ -231,18 +270,20 @@
 	}
 }
 
-// stopHost removes the host from look-up answers, still serves requests that
-// arrive, and returns when no request is in flight or the grace period ends.
-func stopHost(settings platform.Settings, h *hoster.Host, servers []*http.Server, log zerolog.Logger) {
+// stopHost removes the host from look-up answers and still serves requests that arrive
+// during the lame-duck period. It returns when no request is in flight or the grace period
+// ends; requests that arrive in between are refused, so that none is cut then.
+func stopHost(settings platform.Settings, h *hoster.Host, callers *callerServer, log zerolog.Logger) {
 	log.Info().Int64("grace_ms", int64(settings.StopGrace)).Msg("host_stopping")
 	start := time.Now()
-	h.Leave()
 	grace := settings.StopGrace.Duration() - exitReserve
-	time.Sleep(min(lameDuckPeriod, grace/2))
+	lameDuck := min(lameDuckPeriod, grace/2)
+	h.Leave(clock.FromDuration(lameDuck), clock.FromDuration(grace))
+	time.Sleep(lameDuck)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace))
 	defer cancel()
-	if err := servers[0].Shutdown(ctx); err != nil {
-		log.Warn().Err(err).Msg("requests_cut")
+	if !callers.drain(ctx) {
+		log.Warn().Int64("connections", callers.openConns.Load()).Msg("requests_cut")
 	}
 	log.Info().Int64("took_ms", time.Since(start).Milliseconds()).Msg("host_stopped")
 }
--- a/cmd/catkindyke/commander/host_stop_test.go
+++ b/cmd/catkindyke/commander/host_stop_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/platform"
 	"catkindyke/platform/emulator"
 )
@@ -63,6 +64,41 @@
 	})
 }
 
+// TestStopCutsLateRequests guards against requests that a host takes late in a planned stop,
+// sends to a server and cuts at the end of the grace period.
+func TestStopCutsLateRequests(t *testing.T) {
+	const grace = 8 * clock.Second
+	h := platform.Headers()
+	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\n%s: k1\r\n%s: r1\r\nContent-Length: 4\r\n\r\n", slowPath, h.Key, h.RequestID)
+	request := header + "body"
+	withStoppedHost(t, grace, func(_ *emulator.Store, settings platform.Settings, stop func()) {
+		waitForStatus(t, "before the stop", "http://"+settings.CallerAddress+"/x/1", "k1", http.StatusOK)
+		callers := make(map[int]net.Conn)
+		for _, sent := range []int{0, len(header) / 2, len(request) - 2} {
+			callers[sent] = openRequest(t, settings.CallerAddress, request[:sent])
+		}
+		stop()
+		time.Sleep(lameDuckPeriod + 500*time.Millisecond)
+		for sent, c := range callers {
+			if _, err := fmt.Fprint(c, request[sent:]); err != nil {
+				t.Errorf("%d bytes sent before the stop: %v", sent, err)
+			}
+		}
+		for sent, c := range callers {
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("%d bytes sent before the stop: no response: %v", sent, err)
+				continue
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+				t.Errorf("%d bytes sent before the stop: status %d, Retry-After %q, want 503 and a time", sent, resp.StatusCode, resp.Header.Get("Retry-After"))
+			}
+			_ = resp.Body.Close()
+			_ = c.Close()
+		}
+	})
+}
+
 // expectOK reads a complete response and checks that its status is 200.
 func expectOK(t *testing.T, state string, c net.Conn) {
 	t.Helper()
--- a/cmd/catkindyke/commander/host_test.go
+++ b/cmd/catkindyke/commander/host_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"catkindyke/pkg/clock"
 	"catkindyke/platform"
 	"catkindyke/platform/emulator"
 )
@@ -31,6 +32,9 @@
 	return l.Addr().String()
 }
 
+// slowPath is the path of requests to which a backend server never responds.
+const slowPath = "/x/slow"
+
 // newBackendServer starts backend server s1. It rejects requests for other servers.
 func newBackendServer(t *testing.T) *httptest.Server {
 	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -42,6 +46,11 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if r.URL.Path == slowPath {
+			_, _ = io.Copy(io.Discard, r.Body) // a disconnection is noticed after the body
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
 		_, _ = io.WriteString(w, r.Header.Get(h.Workspace)+" "+r.URL.Path)
 	}))
@@ -56,12 +65,18 @@
 // withHost runs a host against an emulated platform store. The function stop starts
 // the host's planned stop.
 func withHost(t *testing.T, test func(store *emulator.Store, settings platform.Settings, stop func())) {
+	t.Helper()
+	withStoppedHost(t, clock.Second, test)
+}
+
+// withStoppedHost is like withHost, with a grace period for the planned stop.
+func withStoppedHost(t *testing.T, grace clock.Millis, test func(store *emulator.Store, settings platform.Settings, stop func())) {
 	t.Helper()
 	store := emulator.New(100)
 	storeServer := httptest.NewServer(store)
 	defer storeServer.Close()
 	backendServer := newBackendServer(t)
-	defer backendServer.Close()
+	defer func() { backendServer.CloseClientConnections(); backendServer.Close() }()
 	store.Put("config", "main", hostConfig(1, `"k1","k2"`))
 	store.Put("servers", "s1", fmt.Sprintf(
 		`{"Service":"desk","Address":%q,"Zone":"z1","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}`,
@@ -70,7 +85,7 @@
 		Host: "h1", AvailabilityZone: "z1", Region: "r1", RegionOf: map[string]string{"z1": "r1"},
 		CallerAddress: freeAddress(t), ReadinessAddress: freeAddress(t), PeerAddress: freeAddress(t), LookupAddress: freeAddress(t),
 		StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
-		StopGrace:    1000, MaxRevocationDelay: 5000, MaxLookupTTL: 5000, MaxShift: 0.15,
+		StopGrace:    grace, MaxRevocationDelay: 5000, MaxLookupTTL: 5000, MaxShift: 0.15,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -160,8 +160,9 @@
 	configWritten, mustListAgain atomic.Bool
 	// inOutage is set from the time at which the host receives no updates until the next
 	// list of the servers.
-	inOutage       atomic.Bool
-	leaving        atomic.Bool
+	inOutage atomic.Bool
+	// stop is the planned stop of this host, nil if there is none.
+	stop           atomic.Pointer[steerer.Stop]
 	reportSequence atomic.Uint64
 	// serversListed, evacuationsListed and hostsListed report whether the list was
 	// received.
@@ -220,7 +221,7 @@
 	h.steerer = steerer.New(steerer.Config{
 		Headers: cfg.Headers, Catalog: h.catalog.Load, ConfigFresh: h.configFresh, Admit: h.admit,
 		ChooseServer: h.chooseServer, RecordAttempt: h.finishAttempt, CountRequest: h.countRequest, AllowRetry: h.allowRetry,
-		Send: h.courier.Send, SplitPoint: h.nextSplitPoint, CallerLeft: screener.HasDisconnected, Leaving: h.leaving.Load, Clock: cfg.Clock, Meter: cfg.Meter,
+		Send: h.courier.Send, SplitPoint: h.nextSplitPoint, CallerLeft: screener.HasDisconnected, Stop: h.stop.Load, Clock: cfg.Clock, Meter: cfg.Meter,
 		Log: logger.RateLimited(cfg.Log, func() { cfg.Meter.Add("log_lines_left_out", 1) }),
 	})
 	for _, address := range cfg.SeedPeers {
@@ -352,13 +353,15 @@
 // Ready reports whether callers should use this host. One that receives no updates
 // may still serve, but misses changes.
 func (h *Host) Ready() bool {
-	return h.receivesUpdates() && !h.leaving.Load() && h.catalog.Load() != nil &&
+	return h.receivesUpdates() && h.stop.Load() == nil && h.catalog.Load() != nil &&
 		h.serversListed.Load() && h.evacuationsListed.Load() && h.hostsListed.Load() && h.configFresh()
 }
 
 // Leave begins a graceful shutdown: other hosts stop naming this one to callers.
-func (h *Host) Leave() {
-	h.leaving.Store(true)
+// It sends requests to servers for sendFor, and ends after endsIn.
+func (h *Host) Leave(sendFor, endsIn clock.Millis) {
+	now := h.cfg.Clock.Now()
+	h.stop.Store(&steerer.Stop{LastSend: now + sendFor, EndsAt: now + endsIn})
 	h.gossiper.Wake()
 }
 
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -269,7 +269,7 @@
 			makeReady(host, 1)
 		}
 		a := h["a1"]
-		h["a3"].Leave()
+		h["a3"].Leave(3000, 6000)
 		for _, other := range []string{"a2", "a3", "b1"} {
 			exchangeReports(h[other], a)
 		}
--- a/pkg/hoster/report.go
+++ b/pkg/hoster/report.go
@@ -14,7 +14,7 @@
 		Name: h.cfg.Name, Incarnation: h.incarnation, Sequence: h.reportSequence.Add(1),
 		Region: h.cfg.Region, AvailabilityZone: h.cfg.AvailabilityZone,
 		CallerAddress: h.cfg.CallerAddress, PeerAddress: h.cfg.PeerAddress,
-		Ready: h.Ready(), Leaving: h.leaving.Load(),
+		Ready: h.Ready(), Leaving: h.stop.Load() != nil,
 	}
 	r.EchoIncarnation, r.EchoSequence = h.fleet.lastApplied(receiver)
 	h.fleet.recordSent(r.Sequence, now)
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -97,11 +97,18 @@
 	// CallerLeft reports whether the caller of the request with this context has
 	// disconnected.
 	CallerLeft func(ctx context.Context) bool
-	// Leaving reports whether the host is shutting down as planned.
-	Leaving func() bool
-	Clock   clock.Clock
-	Log     zerolog.Logger
-	Meter   *meter.Meter
+	// Stop returns the planned stop of the host, nil if there is none.
+	Stop  func() *Stop
+	Clock clock.Clock
+	Log   zerolog.Logger
+	Meter *meter.Meter
+}
+
+// Stop is a planned stop of the host.
+type Stop struct {
+	// LastSend is the time from which no further request is sent to a server. EndsAt is
+	// the time at which connections are cut.
+	LastSend, EndsAt clock.Millis
 }
 
 // Steerer is the HTTP handler for callers' requests.
@@ -154,7 +161,7 @@
 func (s *Steerer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, id: r.Header.Get(s.cfg.Headers.RequestID), start: s.cfg.Clock.Now()}
 	defer s.recoverPanic(c)
-	if s.cfg.Leaving() {
+	if s.cfg.Stop() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if ref := s.admitRequest(c); ref != nil {
@@ -202,6 +209,9 @@
 	if c.catalog == nil {
 		return &refusal{http.StatusServiceUnavailable, "no_configuration", clock.Second}
 	}
+	if s.isTooLateToSend(c) {
+		return stopRefusal()
+	}
 	c.route = c.catalog.Match(hostName(c.r.Host), c.r.URL.Path)
 	needsKey := c.catalog.NeedsKeys() && (c.route == nil || !c.route.Anonymous)
 	if needsKey && !s.cfg.ConfigFresh() {
@@ -419,10 +429,37 @@
 	}
 }
 
+// isTooLateToSend reports whether the host stops so soon that a request that no server has
+// got yet must go to another host.
+func (s *Steerer) isTooLateToSend(c *call) bool {
+	stop := s.cfg.Stop()
+	return stop != nil && c.sentAttempts == 0 && s.cfg.Clock.Now() >= stop.LastSend
+}
+
+func stopRefusal() *refusal {
+	return &refusal{http.StatusServiceUnavailable, "stopping", otherHostRetryAfter}
+}
+
+// timeToRespond returns the time in which a server must respond, and whether it is the end
+// of the host that limits it. A caller whose request is cut can repeat it only if it is
+// idempotent.
+func (s *Steerer) timeToRespond(c *call) (left clock.Millis, limitedByStop bool) {
+	left = s.timeLeft(c)
+	if stop := s.cfg.Stop(); stop != nil && !c.route.IsIdempotent() {
+		if untilEnd := stop.EndsAt - s.cfg.Clock.Now(); untilEnd < left {
+			return untilEnd, true
+		}
+	}
+	return left, false
+}
+
 // chooseServer asks the balancer for a server.
 func (s *Steerer) chooseServer(c *call) *refusal {
-	timeLeft := s.timeLeft(c)
-	if timeLeft < minTimeLeft {
+	timeLeft, limitedByStop := s.timeToRespond(c)
+	switch {
+	case s.isTooLateToSend(c), limitedByStop && timeLeft < minTimeLeft:
+		return stopRefusal()
+	case timeLeft < minTimeLeft:
 		return &refusal{http.StatusGatewayTimeout, "timeout", 0}
 	}
 	if ref := s.recheckKey(c); ref != nil {
@@ -434,6 +471,9 @@
 		TargetLatency: c.route.TargetLatency - (s.cfg.Clock.Now() - c.start), TimeLeft: timeLeft,
 		Priority: c.priority(), CallerTimeout: c.callerTimeout,
 	})
+	if c.choice.Refused && c.choice.Reason == balancer.ReasonBusy && limitedByStop {
+		return stopRefusal()
+	}
 	if c.choice.Refused {
 		return &refusal{http.StatusServiceUnavailable, c.choice.Reason, c.choice.RetryAfter}
 	}
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -45,6 +45,8 @@
 	finishedAttempts []balancer.Attempt
 	// noCapacity makes the balancer refuse requests.
 	noCapacity bool
+	// stop is the planned stop of the host.
+	stop *Stop
 }
 
 func testCatalog(t *testing.T) *cataloger.Catalog {
@@ -103,7 +105,7 @@
 			}
 			return resp, err
 		},
-		SplitPoint: func(string) float64 { return 0 }, CallerLeft: func(ctx context.Context) bool { return ctx.Err() != nil }, Leaving: func() bool { return false },
+		SplitPoint: func(string) float64 { return 0 }, CallerLeft: func(ctx context.Context) bool { return ctx.Err() != nil }, Stop: func() *Stop { return f.stop },
 		Clock: f.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
 	})
 	test(f)
@@ -551,3 +553,69 @@
 		}
 	})
 }
+
+// TestLateRequestSentDuringStop guards against requests that are sent to servers when the host
+// is about to end, and cut with it.
+func TestLateRequestSentDuringStop(t *testing.T) {
+	const lastSend, end = 1000, 2000
+	cases := []struct {
+		name, method, path string
+		// at is the time of the request, and bodyAt that of the end of its body.
+		at, bodyAt           clock.Millis
+		wantStatus, wantSent int
+	}{
+		{"in the lame-duck period", http.MethodGet, "/look/", 900, 900, http.StatusOK, 1},
+		{"after it", http.MethodGet, "/look/", 1000, 1000, http.StatusServiceUnavailable, 0},
+		{"not repeatable, after it", http.MethodPost, "/book/", 1500, 1500, http.StatusServiceUnavailable, 0},
+		{"a body that ends after it", http.MethodPost, "/book/", 900, 1100, http.StatusServiceUnavailable, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withSteerer(t, func(f *fixture) {
+				f.stop = &Stop{LastSend: lastSend, EndsAt: end}
+				f.clock.Advance(c.at)
+				w := handle(f, c.method, c.path, func(r *http.Request) {
+					r.Body = io.NopCloser(readerFunc(func([]byte) (int, error) {
+						f.clock.Advance(c.bodyAt - c.at)
+						return 0, io.EOF
+					}))
+				})
+				assertOutcome(t, c.name, w, c.wantStatus, c.wantSent, f)
+				if w.Header().Get("Connection") != "close" {
+					t.Error("the connection stays open")
+				}
+			})
+		})
+	}
+	t.Run("a retry after it", func(t *testing.T) {
+		withSteerer(t, func(f *fixture) {
+			f.stop = &Stop{LastSend: lastSend, EndsAt: end}
+			f.clock.Advance(900)
+			f.respond = func(n int) (*courier.Response, error) {
+				f.clock.Advance(200)
+				if n == 0 {
+					return nil, courier.ErrNoResponse
+				}
+				return okResponse("ok"), nil
+			}
+			assertOutcome(t, "idempotent", handle(f, http.MethodGet, "/look/", nil), http.StatusOK, 2, f)
+		})
+	})
+	t.Run("no response is expected before the end", func(t *testing.T) {
+		withSteerer(t, func(f *fixture) {
+			f.stop = &Stop{LastSend: lastSend, EndsAt: lastSend + 10}
+			f.clock.Advance(990)
+			f.noCapacity = true
+			w := handle(f, http.MethodPost, "/book/", nil)
+			assertOutcome(t, "not repeatable", w, http.StatusServiceUnavailable, 0, f)
+			if got := w.Header().Get("Retry-After"); got != "0.100" {
+				t.Errorf("Retry-After %q, want 0.100 as for another host", got)
+			}
+		})
+	})
+}
+
+// readerFunc is a reader made of a function.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
