rationer: margin of the retry budget by its window

Cause: the margin for requests and retries that arrive late was a tenth, whatever the window. What is late counts the more the shorter the window is.

Change: the margin is 1 s of the window, a tenth of the platform's 10 s as before, and the window is a setting of the budget again. No change at the platform's bounds.

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -109,7 +109,7 @@
 		Name: settings.Host, Region: settings.Region, AvailabilityZone: settings.AvailabilityZone,
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
 		ObjectKinds: platform.WatchedKinds(), Headers: platform.Headers(), MaxRevocationDelay: settings.MaxRevocationDelay,
-		RetryBudget: rationer.RetryConfig{Ratio: settings.RetryRatio, Slack: settings.RetrySlack},
+		RetryBudget: rationer.RetryConfig{Ratio: settings.RetryRatio, Window: settings.RetryWindow, Slack: settings.RetrySlack},
 		RateSlack:   settings.RateSlack, RateOverage: settings.RateOverage, RateWindow: settings.RateWindow, ShiftRate: shiftShareFraction * settings.MaxShift / 2,
 		ColdSenders: max(1, int(settings.ColdSlack-coldSlackReserve)),
 		LookupTTL:   min(lookupTTL, settings.MaxLookupTTL), DialPeer: peerDialer.FleetClient, Clock: clk, Log: log, Meter: metrics,
--- a/pkg/hoster/checks_test.go
+++ b/pkg/hoster/checks_test.go
@@ -57,7 +57,7 @@
 			name := fmt.Sprintf("%s%02d", region, i)
 			h := New(ctx, Config{
 				Name: name, Region: "r" + region, AvailabilityZone: "z" + region, CallerAddress: name + ":1", PeerAddress: name + ":2",
-				MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Slack: 50},
+				MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 50},
 				ShiftRate: 0.02, LookupTTL: 2000, ObjectKinds: []string{"servers"},
 				DialPeer: func(_ context.Context, address string) schema.DRPCFleetClient {
 					return inProcessClient{peers: peers, region: "r" + region, address: address}
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -42,7 +42,7 @@
 func (n *testNetwork) start(ctx context.Context, name string) *Host {
 	n.hosts[name] = New(ctx, Config{
 		Name: name, Region: "r" + name[:1], AvailabilityZone: "z" + name[:1], CallerAddress: name + ":1", PeerAddress: name + ":2",
-		Headers: steerer.Headers{}, MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Slack: 50},
+		Headers: steerer.Headers{}, MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 50},
 		ShiftRate: 0.02, ColdSenders: 4, LookupTTL: 2000, ObjectKinds: []string{"servers"},
 		DialPeer: func(context.Context, string) schema.DRPCFleetClient { return unreachableClient{} },
 		Clock:    n.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
--- a/pkg/hoster/retry_test.go
+++ b/pkg/hoster/retry_test.go
@@ -92,7 +92,7 @@
 func (f *retryFleet) assertWithinBudget(t *testing.T) {
 	t.Helper()
 	cfg := f.network.hosts[f.names[0]].cfg.RetryBudget
-	const window = int(10 * clock.Second / retryStep)
+	window := int(cfg.Window / retryStep)
 	for from := 0; from+window <= len(f.requests); from++ {
 		requests, retries := 0, 0
 		for i := from; i < from+window; i++ {
--- a/pkg/rationer/rationer_test.go
+++ b/pkg/rationer/rationer_test.go
@@ -192,8 +192,7 @@
 // again or leave.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		cfg := RetryConfig{Ratio: 0.2, Slack: 56}
-		const window clock.Millis = 10000
+		cfg := RetryConfig{Ratio: 0.2, Window: 10000, Slack: 56}
 		hosts := rapid.IntRange(1, 12).Draw(rt, "hosts")
 		var budgets []*RetryBudget
 		start := func() *RetryBudget {
@@ -243,7 +242,7 @@
 			} else {
 				requests++
 			}
-			for events[first].at <= e.at-window {
+			for events[first].at <= e.at-cfg.Window {
 				if events[first].isRetry {
 					retries--
 				} else {
--- a/pkg/rationer/retries.go
+++ b/pkg/rationer/retries.go
@@ -1,17 +1,28 @@
 package rationer
 
-import "math"
+import (
+	"math"
 
-// retrySafetyFactor keeps the fleet's retries within the budget even though requests
-// and retries reach hosts and servers later than callers send them.
-const retrySafetyFactor = 0.9
+	"catkindyke/pkg/clock"
+)
+
+const (
+	// maxRetryDelay is the time by which requests may reach hosts, and retries servers,
+	// later than callers have sent the requests. What was counted that long before a
+	// window may still count in it.
+	maxRetryDelay = clock.Second
+	// minRetryMargin bounds the part of the budget that is used with short windows.
+	minRetryMargin = 0.5
+)
 
 // RetryConfig is the fleet-wide retry budget.
 type RetryConfig struct {
 	// Ratio is the number of retries allowed per request.
 	Ratio float64
+	// Window is the time over which requests and retries are counted.
+	Window clock.Millis
 	// Slack is the number of retries that the whole fleet is allowed in addition, in any
-	// window of time.
+	// window.
 	Slack float64
 }
 
@@ -24,7 +35,9 @@
 // the budget holds for any window, whichever hosts leave or start in it: a host that has
 // left can have spent no more, and one that starts has saved up nothing.
 type RetryBudget struct {
-	cfg    RetryConfig
+	// ratio and slack are those of the configuration less a margin for delays.
+	ratio, slack float64
+
 	hosts  int
 	tokens map[string]float64
 }
@@ -40,7 +53,8 @@
 
 // NewRetryBudget returns a budget of a host that has no part of the slack yet.
 func NewRetryBudget(cfg RetryConfig) *RetryBudget {
-	return &RetryBudget{cfg: cfg, tokens: make(map[string]float64)}
+	margin := math.Max(minRetryMargin, 1-float64(maxRetryDelay)/float64(cfg.Window))
+	return &RetryBudget{ratio: margin * cfg.Ratio, slack: margin * cfg.Slack, tokens: make(map[string]float64)}
 }
 
 // SetHosts sets the number of hosts among which the slack is divided, 0 if it is unknown.
@@ -48,7 +62,7 @@
 
 // CountRequest counts a caller's request for a service.
 func (r *RetryBudget) CountRequest(service string) {
-	r.tokens[service] = math.Min(r.tokens[service]+retrySafetyFactor*r.cfg.Ratio, r.capacity())
+	r.tokens[service] = math.Min(r.tokens[service]+r.ratio, r.capacity())
 }
 
 // Allow takes one retry from this host's part of the budget if one is left.
@@ -67,5 +81,5 @@
 	if r.hosts == 0 {
 		return 0
 	}
-	return math.Max(1, retrySafetyFactor*r.cfg.Slack/float64(r.hosts))
+	return math.Max(1, r.slack/float64(r.hosts))
 }
