steerer, courier: an attempt that has ended takes no bytes of the body

Cause: the courier writes such a body in a goroutine. If the connection failed before anything was written, the attempt counted as not sent and the next one began, while that goroutine still took the next bytes from the same reader. The class of fault is a resource that an operation keeps after it was reported as ended.

Ruled out: waiting for the goroutine, which may be held up in a read for as long as the caller sends nothing.

Change: each attempt has a reader of its own, which gets no bytes once the attempt has ended. The next one starts from the first byte if all bytes taken so far are held in memory, and otherwise the request is refused: nothing of it was sent. Whether bytes were sent is decided after the connection was closed, atomically.

--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -134,8 +134,10 @@
 	resp, reusable, err := c.roundTrip(conn, req)
 	if err != nil {
 		stopCancel()
+		// The body may still be written concurrently. A write that is counted after the
+		// connection was closed fails.
 		_ = conn.Close()
-		if conn.bytesWritten == 0 {
+		if conn.bytesWritten.Load() == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
@@ -157,7 +159,8 @@
 func (c *Courier) connect(ctx context.Context, target Target, id string, fresh bool) (*connection, error) {
 	if id != "" {
 		if conn := c.pool.get(target, id, fresh, c.cfg.Clock.Now()); conn != nil {
-			conn.bytesWritten, conn.reused = 0, true
+			conn.bytesWritten.Store(0)
+			conn.reused = true
 			conn.recordID(id)
 			return conn, nil
 		}
--- a/pkg/courier/pool.go
+++ b/pkg/courier/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,7 +44,7 @@
 	net.Conn
 	r *bufio.Reader
 	// bytesWritten is the number of bytes of the current request that may have been sent.
-	bytesWritten int64
+	bytesWritten atomic.Int64
 	// readBudget is the number of bytes that may still be read; negative means no limit.
 	readBudget int
 	// reused is set if the connection has carried an earlier request.
@@ -68,7 +69,7 @@
 
 // Write counts bytes before it writes them, because a failed write may have sent some.
 func (c *connection) Write(p []byte) (int, error) {
-	c.bytesWritten += int64(len(p))
+	c.bytesWritten.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
 
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"bytes"
 	"io"
 	"math"
 	"net"
@@ -19,8 +18,6 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
 // hostName returns a Host header without its port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -55,9 +52,13 @@
 	}
 	h.Set(headers.ExpectedServer, c.choice.Server.ID)
 	h.Set(headers.Deadline, strconv.FormatInt(int64(s.timeLeft(c)), 10))
+	var stream io.Reader
+	if c.stream != nil {
+		stream = c.stream.startAttempt()
+	}
 	return &courier.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
-		Stream: c.stream, ContentLength: c.r.ContentLength, FreshConn: !c.route.IsIdempotent(),
+		Stream: stream, ContentLength: c.r.ContentLength, FreshConn: !c.route.IsIdempotent(),
 		IsWanted: func() bool { return !s.cfg.CallerLeft(c.r.Context()) },
 	}
 }
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -135,7 +135,7 @@
 	callerTimeout clock.Millis
 	body          []byte
 	// stream is the request body if it is too large to be held in memory.
-	stream           io.Reader
+	stream           *streamedBody
 	attemptedServers []string
 	sentAttempts     int
 	unsentAttempts   int
@@ -168,6 +168,9 @@
 		s.refuse(c, ref)
 		return
 	}
+	if c.stream != nil {
+		defer c.stream.endAttempt()
+	}
 	ctx := c.r.Context()
 	if !c.route.IsIdempotent() {
 		// What a server has begun is not canceled when the caller disconnects.
@@ -308,7 +311,7 @@
 	}
 	s.setReadDeadline(c, time.Now().Add(s.timeLeft(c).Duration()))
 	if c.r.ContentLength > maxBufferedBody {
-		c.stream = c.r.Body
+		c.stream = &streamedBody{rest: c.r.Body}
 		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(c.r.Body, maxBufferedBody+1))
@@ -321,7 +324,7 @@
 	case err != nil:
 		return &refusal{http.StatusBadRequest, "unreadable_body", 0}
 	case len(body) > maxBufferedBody:
-		c.stream = io.MultiReader(newReader(body), c.r.Body)
+		c.stream = &streamedBody{head: body, rest: c.r.Body}
 	default:
 		c.body = body
 		s.setReadDeadline(c, time.Time{})
@@ -548,7 +551,7 @@
 	if attemptMayHaveRun(result, err) && !c.route.IsIdempotent() {
 		return retryCheck{verdict: retryUnsafe}
 	}
-	if c.stream != nil && c.sentAttempts > 0 {
+	if c.stream != nil && (!c.stream.endAttempt() || c.sentAttempts > 0) {
 		return retryCheck{verdict: retryUnsafe} // the body was consumed
 	}
 	if errors.Is(err, courier.ErrNotSent) {
