courier: reset the connection of a request that is given up

Cause: the connection of an attempt that had ended was closed, and what the cut held up was still delivered.

Ruled out: effects on other requests. A connection carries one at a time, and one whose response is complete is not reset.

Change: on an error, the deadline or a caller who leaves, the connection is closed with a reset.

--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -136,7 +136,7 @@
 		stopCancel()
 		// The body may still be written concurrently. A write that is counted after the
 		// connection was closed fails.
-		_ = conn.Close()
+		conn.abort()
 		if conn.bytesWritten.Load() == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
--- a/pkg/courier/courier_test.go
+++ b/pkg/courier/courier_test.go
@@ -550,3 +550,39 @@
 		}
 	})
 }
+
+// TestGivenUpRequestArrivesLate guards against requests whose bytes are held up on the way, and
+// that a server gets and runs after their callers were told of a failure.
+func TestGivenUpRequestArrivesLate(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		accepted <- conn
+	}()
+	c := New(Config{IDHeader: "Request-Id", Clock: clock.New()})
+	req := newRequest("r1")
+	req.Method, req.Body = http.MethodPost, []byte(strings.Repeat("x", 48<<10))
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := c.Send(ctx, Target{ID: "s1", Address: l.Addr().String()}, req); !errors.Is(err, ErrNoResponse) {
+		t.Fatalf("error %v, want %v", err, ErrNoResponse)
+	}
+	conn := <-accepted
+	defer conn.Close()
+	got, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if n, err := io.Copy(io.Discard, got.Body); err == nil {
+		t.Errorf("the server got the whole request, with a body of %d bytes, after it was given up", n)
+	}
+}
--- a/pkg/courier/pool.go
+++ b/pkg/courier/pool.go
@@ -73,6 +73,15 @@
 	return c.Conn.Write(p)
 }
 
+// abort closes the connection with a reset, so that the server does not get bytes that are
+// still on their way. They could be held up for seconds, and the request run then.
+func (c *connection) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // on failure it is closed without a reset
+	}
+	_ = c.Close()
+}
+
 // Read reads at most readBudget bytes.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.readBudget == 0 {
