--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -24,6 +24,7 @@
 
 // testNetwork connects hosts in one process.
 type testNetwork struct {
+	ctx   context.Context
 	clock *clock.Manual
 	hosts map[string]*Host
 }
@@ -39,8 +40,8 @@
 func (unreachableClient) DRPCConn() drpc.Conn { return nil }
 
 // start starts a host. It takes the place of an earlier one of the same name.
-func (n *testNetwork) start(ctx context.Context, name string) *Host {
-	n.hosts[name] = New(ctx, Config{
+func (n *testNetwork) start(name string) *Host {
+	n.hosts[name] = New(n.ctx, Config{
 		Name: name, Region: "r" + name[:1], AvailabilityZone: "z" + name[:1], CallerAddress: name + ":1", PeerAddress: name + ":2",
 		Headers: steerer.Headers{}, MaxRevocationDelay: 5000, RetryBudget: rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 50},
 		ShiftRate: 0.02, ColdSenders: 4, LookupTTL: 2000, ObjectKinds: []string{"servers"},
@@ -52,12 +53,12 @@
 
 func withHosts(t *testing.T, names []string, test func(n *testNetwork, h map[string]*Host)) {
 	t.Helper()
-	n := &testNetwork{clock: &clock.Manual{}, hosts: make(map[string]*Host)}
-	n.clock.Advance(100000)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	n := &testNetwork{ctx: ctx, clock: &clock.Manual{}, hosts: make(map[string]*Host)}
+	n.clock.Advance(100000)
 	for _, name := range names {
-		n.start(ctx, name)
+		n.start(name)
 	}
 	test(n, n.hosts)
 }
--- a/pkg/hoster/retry_test.go
+++ b/pkg/hoster/retry_test.go
@@ -1,7 +1,6 @@
 package hoster
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -20,7 +19,6 @@
 // budget allows.
 type retryFleet struct {
 	network *testNetwork
-	ctx     context.Context
 	names   []string
 	// running holds the names of the hosts that run, and side the part of a partition in
 	// which a host is.
@@ -33,9 +31,7 @@
 func withRetryFleet(t *testing.T, test func(f *retryFleet)) {
 	t.Helper()
 	withHosts(t, nil, func(n *testNetwork, _ map[string]*Host) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		f := &retryFleet{network: n, ctx: ctx, side: make(map[string]int)}
+		f := &retryFleet{network: n, side: make(map[string]int)}
 		for i := range retryTestHosts {
 			f.names = append(f.names, fmt.Sprintf("a%d", i))
 		}
@@ -46,7 +42,7 @@
 // start starts processes, which read the entries of all hosts in the store.
 func (f *retryFleet) start(names []string) {
 	for _, name := range names {
-		h := f.network.start(f.ctx, name)
+		h := f.network.start(name)
 		makeReady(h, 1)
 		for _, other := range f.names {
 			h.Feed().SetHost(other, "r"+other[:1], other+":2")
@@ -59,6 +55,13 @@
 	f.running = slices.DeleteFunc(f.running, func(name string) bool { return slices.Contains(names, name) })
 }
 
+// cutOffAll cuts off each host from all others.
+func (f *retryFleet) cutOffAll() {
+	for i, name := range f.names {
+		f.side[name] = i
+	}
+}
+
 // run plays requests for a time, the servers of which reject them or not.
 func (f *retryFleet) run(d clock.Millis, rejected bool) {
 	for range d / retryStep {
@@ -133,24 +136,16 @@
 				f.run(500, true)
 			}
 		}},
-		{"one host is cut off from each of the others", func(f *retryFleet) {
-			for i, name := range f.names {
-				f.side[name] = i
-			}
-		}},
+		{"hosts are cut off from each other", func(f *retryFleet) { f.cutOffAll() }},
 		{"hosts restart, and hear nothing from others", func(f *retryFleet) {
 			f.run(12*clock.Second, false)
 			f.stop(f.names)
-			for i, name := range f.names {
-				f.side[name] = i
-			}
+			f.cutOffAll()
 			f.start(f.names)
 		}},
 		{"hosts are cut off before the trouble", func(f *retryFleet) {
 			f.run(12*clock.Second, false)
-			for i, name := range f.names {
-				f.side[name] = i
-			}
+			f.cutOffAll()
 			f.run(8*clock.Second, false)
 		}},
 		{"most hosts are away before the trouble, and return", func(f *retryFleet) {
