registrar: entries that go missing after an outage are kept no longer than those in it

Cause: for 2.5 s after an outage, an entry that was removed was kept for 2.1 s from then on, so up to 4.6 s after the outage. Entries that lapsed in the outage are back 2 s after it; a server whose entry goes later has left.

Evidence: TestServerLeavesAfterOutage fails before (two of two checks).

Change: nothing is kept for longer than 2.1 s after the outage, or after the entry was found missing if that is earlier.

Tried: the grace counted from the end of the last outage only.

Test of late arrivals: the small buffer is now set before the connection is accepted.

--- a/pkg/courier/courier_test.go
+++ b/pkg/courier/courier_test.go
@@ -10,10 +10,13 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"catkindyke/pkg/clock"
 )
 
@@ -554,20 +557,15 @@
 // TestGivenUpRequestArrivesLate guards against requests whose bytes are held up on the way, and
 // that a server gets and runs after their callers were told of a failure.
 func TestGivenUpRequestArrivesLate(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Accepted connections inherit the small buffer, which holds only a part of the request.
+	smallBuffer := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+	}}
+	l, err := smallBuffer.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-		accepted <- conn
-	}()
 	c := New(Config{IDHeader: "Request-Id", Clock: clock.New()})
 	req := newRequest("r1")
 	req.Method, req.Body = http.MethodPost, []byte(strings.Repeat("x", 48<<10))
@@ -576,7 +574,10 @@
 	if _, err := c.Send(ctx, Target{ID: "s1", Address: l.Addr().String()}, req); !errors.Is(err, ErrNoResponse) {
 		t.Fatalf("error %v, want %v", err, ErrNoResponse)
 	}
-	conn := <-accepted
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
 	defer conn.Close()
 	got, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -11,8 +11,8 @@
 const missingGrace clock.Millis = 2100
 
 // recoveryTime is the time after an outage in which a removed entry may be one that
-// lapsed during the outage.
-const recoveryTime clock.Millis = 2500
+// lapsed during the outage. Servers whose entries are still missing then have left.
+const recoveryTime = missingGrace
 
 // RestoreGrace is the time after the store was restored from a backup in which its entries
 // may be older than those known here: running servers write theirs again within 2 s.
@@ -197,12 +197,12 @@
 	return r.inOutage || now-r.lastOutageEnd < recoveryTime
 }
 
-// Expire drops the entries that are still missing after missingGrace and reports
-// whether there were any.
+// Expire drops the entries that are still missing after missingGrace, or recoveryTime
+// after the last outage, and reports whether there were any.
 func (r *Registrar) Expire(now clock.Millis) bool {
 	dropped := false
 	for id, e := range r.entries {
-		if e.missingSince >= 0 && !r.inOutage && now-e.missingSince >= missingGrace {
+		if e.missingSince >= 0 && !r.inOutage && (now-e.missingSince >= missingGrace || !r.isRecovering(now)) {
 			r.drop(id, now)
 			dropped = true
 		}
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -170,3 +170,17 @@
 	r.Put(written("b", 0, 1, false), 2000)
 	assertDraining(t, r, "unknown start", "b", false)
 }
+
+// A server that leaves shortly after an outage has left in order. It still got requests for
+// 2.1 s after its removal was known.
+func TestServerLeavesAfterOutage(t *testing.T) {
+	r := New()
+	r.Replace([]Server{entry("a"), entry("b")}, 10000)
+	r.StartOutage(20000)
+	r.Replace([]Server{entry("a"), entry("b")}, 25000)
+	r.Remove("a", 27000)
+	r.Expire(27100)
+	assertHas(t, r, "2.1 s after the outage", "a", false)
+	r.Remove("b", 27200)
+	assertHas(t, r, "removed later than that", "b", false)
+}
