--- a/pkg/hoster/retry_test.go
+++ b/pkg/hoster/retry_test.go
@@ -10,9 +10,9 @@
 
 const (
 	retryStep      clock.Millis = 100
-	retryTestHosts              = 10
+	retryTestHosts int          = 10
 	// requestsPerStep is the number of callers' requests in a step, of the whole fleet.
-	requestsPerStep = 16
+	requestsPerStep int = 16
 )
 
 // retryFleet is a fleet whose servers reject requests, so that hosts retry as often as their
