--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -606,7 +606,7 @@
 			for _, other := range names {
 				h.Feed().SetHost(other, "r"+other[:1], other+":2")
 			}
-			h.tick()
+			h.apply(h.tick)
 			for range 3 {
 				c, _ := h.chooseServer(balancer.Request{Service: "desk", Class: "p", TargetLatency: 250, TimeLeft: 800})
 				if !c.Refused {
