--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -272,7 +272,7 @@
 
 // stopHost removes the host from look-up answers and still serves requests that arrive
 // during the lame-duck period. It returns when no request is in flight or the grace period
-// ends; requests that arrive in between are refused, so that none is cut then.
+// ends; requests that arrive in between are refused, because they could be cut then.
 func stopHost(settings platform.Settings, h *hoster.Host, callers *callerServer, log zerolog.Logger) {
 	log.Info().Int64("grace_ms", int64(settings.StopGrace)).Msg("host_stopping")
 	start := time.Now()
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -358,7 +358,7 @@
 }
 
 // Leave begins a graceful shutdown: other hosts stop naming this one to callers.
-// It sends requests to servers for sendFor, and ends after endsIn.
+// New requests are sent to servers for sendFor, and the host ends after endsIn.
 func (h *Host) Leave(sendFor, endsIn clock.Millis) {
 	now := h.cfg.Clock.Now()
 	h.stop.Store(&steerer.Stop{LastSend: now + sendFor, EndsAt: now + endsIn})
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -106,8 +106,8 @@
 
 // Stop is a planned stop of the host.
 type Stop struct {
-	// LastSend is the time from which no further request is sent to a server. EndsAt is
-	// the time at which connections are cut.
+	// LastSend is the time from which requests that no server has got yet are refused. EndsAt
+	// is the time at which connections are cut.
 	LastSend, EndsAt clock.Millis
 }
 
