Hosts that start tell a restored store by the eras in host entries

Cause: a process that starts knows no earlier era of the store. It read "no earlier era known" as "not restored", so that it confirmed the configuration of the copy at once.

Change: a host writes to its entry the last era in which the store had the newest configuration, once that is known in the era: the store's version is not older than what this host or any other reports, and the operator has written it, or 2.1 s have passed. A copy from before a restore has no entry with the current era. A host that starts confirms the configuration as soon as some entry names the era; otherwise it counts the store as restored when it listed the hosts. The setting of a first start counts only if the host had no entry and no entry names an era. A process that starts leaves the entry of its predecessor in place, since it may hold the only mark: GET replaces PUT. Two hosts of a region write one more PUT for each era, until one has.

Ruled out: revisions of the configuration compared with those of entries show the operator's write only if it follows a host's; a hold at each start would be paid after each power loss.

A host entry of an earlier build names no era, so the first start after an upgrade of all hosts at once holds keys for 2.1 s up to 3.1 s.

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -117,7 +117,7 @@
 	client := platform.NewClient(settings.StoreAddress)
 	syncer := platform.NewSyncer(hostCtx, platform.SyncerConfig{
 		Client: client, Self: platform.HostEntry{Name: settings.Host, PeerAddress: settings.PeerAddress, Region: settings.Region},
-		Feed: h.Feed(), RegionOf: settings.RegionOf, Clock: clk, Log: log, Meter: metrics,
+		FirstStart: settings.FirstStart, Feed: h.Feed(), RegionOf: settings.RegionOf, Clock: clk, Log: log, Meter: metrics,
 	})
 	peerServer, err := peerserver.New(peerserver.Config{
 		Register: func(mux drpc.Mux) error { return schema.DRPCRegisterFleet(mux, h) },
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -54,9 +54,13 @@
 	ReplaceEvacuations func(zones []string)
 	SetEvacuation      func(zone string, active bool)
 	// SetHost records the entry of a host, HostsListed that all entries were passed
-	// on.
+	// on. hasNewestConfig reports whether they show that the store was not restored from a
+	// backup since it had the newest configuration.
 	SetHost     func(name, region, peerAddress string)
-	HostsListed func()
+	HostsListed func(hasNewestConfig bool)
+	// StoreHasNewestConfig reports whether this host knows that the store has the newest
+	// configuration, although it may have been restored from a backup.
+	StoreHasNewestConfig func() bool
 }
 
 // Feed returns the functions through which the host follows the store.
@@ -89,7 +93,7 @@
 		ReplaceEvacuations: func(zones []string) { h.apply(func() { h.replaceEvacuations(zones) }) },
 		SetEvacuation:      func(zone string, active bool) { h.apply(func() { h.setEvacuation(zone, active); h.publishServers() }) },
 		SetHost:            func(name, region, address string) { h.apply(func() { h.setHost(name, region, address) }) },
-		HostsListed:        func() { h.hostsListed.Store(true) },
+		HostsListed:        h.recordHostsListed, StoreHasNewestConfig: h.storeHasNewestConfig,
 	}
 }
 
@@ -103,6 +107,7 @@
 }
 
 func (h *Host) setConfig(cfg cataloger.Config) {
+	h.storedVersion.Store(cfg.Version)
 	if old := h.catalog.Load(); old != nil && cfg.Version <= old.Version() {
 		return
 	}
@@ -130,7 +135,8 @@
 
 // confirmConfigByStore records that the store had no newer configuration at the given time.
 // A restored store may lack the newest one until the operator has written it again, which
-// a host that has just started learns from others.
+// a host that has just started learns from others. Whether the store was restored before that
+// start is not known until the hosts are listed.
 func (h *Host) confirmConfigByStore(asOf clock.Millis) {
 	advance(&h.polledAt, asOf)
 	if h.lacksReportedConfig() {
@@ -141,9 +147,42 @@
 	}
 }
 
+// recordHostsListed records that the entries of all hosts are known. Unless they show that the
+// store has the newest configuration, a host that starts acts as if the store had been restored
+// just now.
+func (h *Host) recordHostsListed(hasNewestConfig bool) {
+	h.hostsListed.Store(true)
+	restoredAt := int64(h.cfg.Clock.Now())
+	if hasNewestConfig {
+		restoredAt = neverRestored
+	}
+	if !h.restoredAt.CompareAndSwap(restoreUnknown, restoredAt) {
+		return
+	}
+	if !hasNewestConfig {
+		h.cfg.Meter.Add("starts_with_unknown_store", 1)
+		h.cfg.Log.Warn().Msg("store_may_be_restored")
+	}
+	if polledAt := h.polledAt.Load(); polledAt >= 0 {
+		h.confirmConfigByStore(clock.Millis(polledAt))
+	}
+}
+
+// storeHasNewestConfig reports whether the store has the newest configuration, by what this
+// host knows of its last restore and by what other hosts report.
+func (h *Host) storeHasNewestConfig() bool {
+	restoredAt, c := clock.Millis(h.restoredAt.Load()), h.catalog.Load()
+	if h.cfg.MaxRevocationDelay == 0 || c == nil || c.Version() != h.storedVersion.Load() || h.lacksReportedConfig() {
+		return false
+	}
+	return clock.Millis(h.configConfirmedAt.Load()) >= max(0, restoredAt) &&
+		(h.configWritten.Load() || h.cfg.Clock.Now() >= restoredAt+registrar.RestoreGrace)
+}
+
 // recordRestore prepares for lists of a store that was restored from a backup.
 func (h *Host) recordRestore() {
 	now := h.cfg.Clock.Now()
+	h.storedVersion.Store(0)
 	h.configWritten.Store(false)
 	h.restoredAt.Store(int64(now))
 	h.mustListAgain.Store(true)
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -86,6 +86,13 @@
 	remoteReportInterval = 100 * time.Millisecond
 )
 
+// Values of Host.restoredAt that are no times. Both are far from any time, so that sums and
+// comparisons hold without a special case.
+const (
+	neverRestored  = math.MinInt32
+	restoreUnknown = math.MaxInt64 / 2
+)
+
 // Config configures a host.
 type Config struct {
 	// Name of the host, unique in the fleet.
@@ -149,14 +156,17 @@
 	// newestReported is the highest configuration version that another host has reported.
 	newestReported atomic.Uint64
 	// polledAt is when the store was last asked for the configuration, whether or not its
-	// response confirms the one in force.
+	// response confirms the one in force, or -1.
 	polledAt atomic.Int64
 	// storeLostAt is when the store stopped answering this host, or 0.
 	storeLostAt atomic.Int64
-	// restoredAt is when the store was last found restored from a backup. configWritten is
-	// set once the operator has written the configuration again, and mustListAgain until the
-	// store is to be listed a second time.
+	// restoredAt is when the store was last found restored from a backup, neverRestored or
+	// restoreUnknown. storedVersion is the configuration version that the store has held
+	// last since then, 0 if there is none. configWritten is set once the operator has
+	// written the configuration again, and mustListAgain until the store is to be listed a
+	// second time.
 	restoredAt                   atomic.Int64
+	storedVersion                atomic.Uint64
 	configWritten, mustListAgain atomic.Bool
 	// inOutage is set from the time at which the host receives no updates until the next
 	// list of the servers.
@@ -213,7 +223,8 @@
 		probing: make(map[string]bool),
 	}
 	h.configConfirmedAt.Store(-1)
-	h.restoredAt.Store(math.MinInt32)
+	h.polledAt.Store(-1)
+	h.restoredAt.Store(restoreUnknown)
 	h.gossiper = gossiper.New(ctx, gossiper.Config{
 		Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, LocalInterval: localReportInterval, RemoteInterval: remoteReportInterval,
 		BuildReport: h.buildReport, HandleReport: h.handleReport, Dial: cfg.DialPeer, Clock: cfg.Clock, Log: cfg.Log,
--- a/pkg/hoster/hoster_test.go
+++ b/pkg/hoster/hoster_test.go
@@ -86,7 +86,7 @@
 	f.SetConfig(testConfig(version))
 	f.ReplaceServers(servers)
 	f.ReplaceEvacuations(nil)
-	f.HostsListed()
+	f.HostsListed(true)
 	f.ConfirmConfig(h.cfg.Clock.Now())
 }
 
@@ -589,6 +589,69 @@
 	})
 }
 
+// A host that starts when the store may just have been restored, and hears of no newer
+// configuration, must accept no keys until the operator has had time to write it again.
+func TestStartWithUnknownStore(t *testing.T) {
+	withStarted := func(t *testing.T, hasNewestConfig bool, test func(n *testNetwork, a *Host)) {
+		t.Helper()
+		withHosts(t, []string{"a1"}, func(n *testNetwork, h map[string]*Host) {
+			a, f := h["a1"], h["a1"].Feed()
+			f.SetConfig(testConfig(7))
+			f.ReplaceServers(nil)
+			f.ReplaceEvacuations(nil)
+			f.ConfirmConfig(n.clock.Clock().Now())
+			if a.configFresh() {
+				t.Error("keys are accepted before the hosts are listed")
+			}
+			f.HostsListed(hasNewestConfig)
+			assertReady(t, "after the list of hosts", a, hasNewestConfig)
+			test(n, a)
+		})
+	}
+	t.Run("known", func(t *testing.T) {
+		withStarted(t, true, func(*testNetwork, *Host) {})
+	})
+	t.Run("written by the operator", func(t *testing.T) {
+		withStarted(t, false, func(n *testNetwork, a *Host) {
+			n.clock.Advance(registrar.RestoreGrace - 1)
+			a.Feed().ConfirmConfig(n.clock.Clock().Now())
+			assertReady(t, "before the operator had time", a, false)
+			a.Feed().ConfigWritten()
+			a.Feed().ConfirmConfig(n.clock.Clock().Now())
+			assertReady(t, "once the operator has written", a, true)
+			if !a.storeHasNewestConfig() {
+				t.Error("the store does not count as having the newest configuration")
+			}
+		})
+	})
+	t.Run("not written in time", func(t *testing.T) {
+		withStarted(t, false, func(n *testNetwork, a *Host) {
+			n.clock.Advance(registrar.RestoreGrace)
+			a.Feed().ConfirmConfig(n.clock.Clock().Now())
+			assertReady(t, "after the time for writing", a, true)
+		})
+	})
+}
+
+// An older configuration of a restored store must not be marked as the newest one.
+func TestStoreBehindHost(t *testing.T) {
+	withHosts(t, []string{"a1"}, func(n *testNetwork, h map[string]*Host) {
+		a := h["a1"]
+		makeReady(a, 9)
+		a.Feed().StoreRestored()
+		a.Feed().SetConfig(testConfig(7))
+		n.clock.Advance(registrar.RestoreGrace)
+		a.Feed().ConfirmConfig(n.clock.Clock().Now())
+		if a.storeHasNewestConfig() {
+			t.Error("the store counts as having the newest configuration with an older version")
+		}
+		a.Feed().SetConfig(testConfig(9))
+		if !a.storeHasNewestConfig() {
+			t.Error("the store does not count as having the newest configuration once it has")
+		}
+	})
+}
+
 // TestColdServerFloodedAfterRestart guards against hosts that start together, each take
 // themselves for the only one, and all send to the same cold server.
 func TestColdServerFloodedAfterRestart(t *testing.T) {
