Drop entries that were removed in calm, as another host shows

Cause: entries that are missing after an outage of the host were kept for 2.1 s from its first list, up to 2.2 s after the cut, although the outage was its own. Whether an entry has lapsed in an outage of the store or was removed in calm can't be told from one host's view.

Change: reports say for how long their sender has had the store's changes without a gap. If such a time reaches to the removal and began 2.1 s ago or earlier, the entry is dropped at once. The time is dated by the echoed report, so that one that a cut has held up shows nothing.

What remains: hosts of which none had the store all the time keep such entries for 2.1 s from their list.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -242,6 +242,25 @@
 	}
 }
 
+// WakeLost ends the current intervals of up to most hosts that do not answer. The network
+// may just have recovered, and the interval until the next call has grown to seconds.
+func (g *Gossiper) WakeLost(most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if most <= 0 {
+			return
+		}
+		if p.lost {
+			most--
+			select {
+			case p.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
 func (g *Gossiper) wait(ctx context.Context, d time.Duration, p *peer) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -179,3 +179,28 @@
 		assertBetween(t, "reports received per host and second", (total()-before)/2/len(names), 60, 150)
 	})
 }
+
+// A host that was cut off for long called others only up to 2 s after it was back.
+func TestWakeLost(t *testing.T) {
+	for i := range 10 {
+		withGossipers(t, []string{"a1", "b1", "b2", "b3"}, func(n *network) {
+			setDown := func(down bool) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.down["a1"] = down
+				clear(n.calls)
+			}
+			time.Sleep(time.Second)
+			setDown(true)
+			time.Sleep(20*time.Second + time.Duration(i)*137*time.Millisecond)
+			setDown(false)
+			n.peers["a1"].WakeLost(1)
+			time.Sleep(callTimeout + time.Millisecond)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.calls["a1 b1"]+n.calls["a1 b2"]+n.calls["a1 b3"] == 0 {
+				t.Errorf("run %d: no host was called within %v of WakeLost", i, callTimeout)
+			}
+		})
+	}
+}
--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"catkindyke/pkg/balancer"
@@ -197,7 +198,33 @@
 
 // confirmConfig advances the time at which the host last knew the newest
 // configuration.
-func (h *Host) confirmConfig(asOf clock.Millis) { advance(&h.configConfirmedAt, asOf) }
+func (h *Host) confirmConfig(asOf clock.Millis) {
+	advance(&h.configConfirmedAt, asOf)
+	h.updates.record(asOf)
+}
+
+// updateTracker tracks since when the configuration was confirmed again and again without a
+// gap above maxUpdateGap. An outage of the store in which entries lapse leaves a gap.
+type updateTracker struct {
+	mu          sync.Mutex
+	since, last clock.Millis
+}
+
+func (u *updateTracker) record(asOf clock.Millis) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if asOf > u.last+maxUpdateGap {
+		u.since = asOf
+	}
+	u.last = max(u.last, asOf)
+}
+
+// sinceAt returns the time since which there was no gap, or false if there is one now.
+func (u *updateTracker) sinceAt(now clock.Millis) (since clock.Millis, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.since, now-u.last <= maxUpdateGap
+}
 
 // advance sets a time to a later one.
 func advance(t *atomic.Int64, to clock.Millis) {
@@ -249,6 +276,7 @@
 func (h *Host) recordStoreRegained() {
 	if h.storeLostAt.Swap(0) != 0 {
 		h.cfg.Log.Info().Msg("store_regained")
+		h.gossiper.WakeLost(hostsToWake)
 	}
 }
 
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -62,6 +62,13 @@
 	// above the age at which the last hosts poll in turn, and below the time after
 	// which entries of servers expire in an outage, two renewal intervals of 1.5 s.
 	maxConfigAgeWithoutStore clock.Millis = 2500
+	// hostsToWake is the number of hosts out of contact that are called at once when the
+	// store answers again. Any of them tells which servers left in calm.
+	hostsToWake = 4
+	// maxUpdateGap is the longest time between two confirmations of the configuration for
+	// a host to count as having had all changes in between. The first host polls each
+	// second, and an answer takes at most 1.2 s; entries lapse in outages of 3 s.
+	maxUpdateGap clock.Millis = 1500
 	// shareSlackFraction is the fraction of a rate's slack by which the hosts'
 	// shares together may exceed the rate; requests admitted beyond the shares use
 	// the rest.
@@ -153,6 +160,8 @@
 	catalog atomic.Pointer[cataloger.Catalog]
 	// configConfirmedAt is when the configuration was last known to be the newest, or -1.
 	configConfirmedAt atomic.Int64
+	// updates tracks when the store's changes were known without a gap.
+	updates updateTracker
 	// newestReported is the highest configuration version that another host has reported.
 	newestReported atomic.Uint64
 	// polledAt is when the store was last asked for the configuration, whether or not its
@@ -171,6 +180,8 @@
 	// inOutage is set from the time at which the host receives no updates until the next
 	// list of the servers.
 	inOutage atomic.Bool
+	// recovering is set during and shortly after an outage.
+	recovering atomic.Bool
 	// stop is the planned stop of this host, nil if there is none.
 	stop           atomic.Pointer[steerer.Stop]
 	reportSequence atomic.Uint64
@@ -298,6 +309,7 @@
 		h.registrar.StartOutage(clock.Millis(h.configConfirmedAt.Load()))
 		h.inOutage.Store(true)
 	}
+	h.recovering.Store(h.registrar.IsRecovering(now))
 	h.serversChanged = h.registrar.Expire(now) || h.serversChanged
 	h.publishChanges()
 	h.mu.Lock()
--- a/pkg/hoster/report.go
+++ b/pkg/hoster/report.go
@@ -22,6 +22,9 @@
 	r.Revisions = encodeRevisions(h.relayer.Revisions())
 	r.Batches = encodeBatches(h.relayer.MissingBatches(h.fleet.relayRevisions(receiver, now)))
 	r.ConfigVersion, r.ConfigAgeMs = h.reportedConfig(now)
+	if since, ok := h.updates.sinceAt(now); ok && h.receivesUpdates() && !h.inOutage.Load() {
+		r.UpdatedForMs = uint64(now-since) + 1
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r.Loads = encodeInFlight(h.balancer.InFlight())
@@ -78,6 +81,17 @@
 	return sentAt - clock.Millis(r.GetConfigAgeMs()), ok
 }
 
+// reportedContinuity returns the time in which, by the report of another host, that host has
+// had the store's changes. Since the report is no older than the report of this host that it
+// echoes, the time ends there, and it may have begun somewhat earlier than returned.
+func (h *Host) reportedContinuity(r *schema.HostReport, now clock.Millis) (since, until clock.Millis, ok bool) {
+	if r.GetUpdatedForMs() == 0 || r.GetEchoIncarnation() != h.incarnation {
+		return 0, 0, false
+	}
+	until, ok = h.fleet.sentAt(r.GetEchoSequence())
+	return now - clock.Millis(r.GetUpdatedForMs()), until, ok
+}
+
 // handleReport applies the report of another host. rtt is 0 when the other host made
 // the call.
 func (h *Host) handleReport(r *schema.HostReport, rtt clock.Millis) {
@@ -99,6 +113,13 @@
 	if asOf, ok := h.configConfirmation(r); ok {
 		h.confirmConfig(asOf)
 	}
+	if since, until, ok := h.reportedContinuity(r, now); ok && h.recovering.Load() {
+		select {
+		case h.events <- func() { h.registrar.RecordContinuity(since, until) }:
+		default:
+			// Later reports say the same.
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.balancer.SetLoadReport(r.GetName(), balancer.LoadReport{
--- a/pkg/hoster/report_test.go
+++ b/pkg/hoster/report_test.go
@@ -153,3 +153,37 @@
 		t.Errorf("decoded %v of a list without objects", got)
 	}
 }
+
+// Only a report that is known to be recent, by the report that it echoes, tells that another host
+// has had the store's changes. One that a cut has held up says nothing about the time of the cut.
+func TestReportedContinuity(t *testing.T) {
+	withHosts(t, []string{"a1", "a2"}, func(n *testNetwork, h map[string]*Host) {
+		a, b := h["a1"], h["a2"]
+		makeReady(a, 5)
+		makeReady(b, 5)
+		start := n.clock.Clock().Now()
+		for range 4 {
+			n.clock.Advance(1000)
+			a.Feed().ConfirmConfig(n.clock.Clock().Now())
+			exchangeReports(a, b)
+		}
+		sentAt := n.clock.Clock().Now()
+		report := a.buildReport("a2")
+		n.clock.Advance(3000)
+		since, until, ok := b.reportedContinuity(report, n.clock.Clock().Now())
+		if !ok || since < start || until > sentAt {
+			t.Errorf("from %d to %d, %v, want a part of %d to %d", since, until, ok, start, sentAt)
+		}
+		if got := a.buildReport("a2").UpdatedForMs; got != 0 {
+			t.Errorf("a host that was not updated for 3 s states %d ms", got)
+		}
+		a.Feed().ConfirmConfig(n.clock.Clock().Now())
+		if got := a.buildReport("a2").UpdatedForMs; got != 1 {
+			t.Errorf("a host states %d ms right after a gap of 3 s, want 1", got)
+		}
+		report.EchoIncarnation++
+		if _, _, ok := b.reportedContinuity(report, n.clock.Clock().Now()); ok {
+			t.Error("a report that echoes none of this process counts")
+		}
+	})
+}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -14,6 +14,11 @@
 // lapsed during the outage. Servers whose entries are still missing then have left.
 const recoveryTime = missingGrace
 
+// maxContinuityAge is the time before an entry was found missing up to which another host must
+// have had the store's changes. Together with the gap of 1.5 s that such a host allows, it is
+// shorter than an outage in which entries lapse.
+const maxContinuityAge clock.Millis = 400
+
 // RestoreGrace is the time after the store was restored from a backup in which its entries
 // may be older than those known here: running servers write theirs again within 2 s.
 const RestoreGrace clock.Millis = 2100
@@ -71,10 +76,21 @@
 	outageStart, lastOutageEnd clock.Millis
 	// restoredAt is the time at which the store was last found restored.
 	restoredAt clock.Millis
+	// continuity is the time in which another host has had the store's changes.
+	continuity continuity
 	// departed holds the servers that were dropped, by ID.
 	departed map[string]departure
 }
 
+// continuity is a time in which the store had no outage in which entries may have lapsed.
+type continuity struct{ since, until clock.Millis }
+
+// shows reports whether an entry that was missing at a time has not just lapsed in an outage,
+// since it would be back by now.
+func (c continuity) shows(missingAt, now clock.Millis) bool {
+	return c.since <= missingAt && c.until >= missingAt-maxContinuityAge && now-c.since >= missingGrace
+}
+
 // departure is a server that was dropped.
 type departure struct {
 	startUnixMs int64
@@ -87,7 +103,7 @@
 
 // New returns an empty Registrar.
 func New() *Registrar {
-	return &Registrar{entries: make(map[string]Entry), lastOutageEnd: -recoveryTime, restoredAt: -RestoreGrace, departed: make(map[string]departure)}
+	return &Registrar{entries: make(map[string]Entry), lastOutageEnd: -recoveryTime, restoredAt: -RestoreGrace, continuity: continuity{until: -missingGrace}, departed: make(map[string]departure)}
 }
 
 // StartOutage records that the store is unreachable. Replace ends the outage.
@@ -97,6 +113,15 @@
 	}
 }
 
+// RecordContinuity records that another host has had the store's changes all the time between
+// two times. What was removed then has not lapsed in an outage, though this host saw one.
+func (r *Registrar) RecordContinuity(since, until clock.Millis) {
+	old := r.continuity
+	if until > old.until+maxContinuityAge || since <= old.since && until >= old.until-maxContinuityAge {
+		r.continuity = continuity{since, until}
+	}
+}
+
 // Replace replaces all entries. Those that are missing from the list are dropped at
 // once, or after missingGrace if the store was unreachable.
 func (r *Registrar) Replace(list []Server, now clock.Millis) {
@@ -172,13 +197,13 @@
 }
 
 // Remove drops an entry. During and shortly after an outage it marks the entry as
-// missing instead.
+// missing instead, unless another host shows that it was removed in calm.
 func (r *Registrar) Remove(id string, now clock.Millis) {
 	e, ok := r.entries[id]
 	if !ok {
 		return
 	}
-	if r.isRecovering(now) {
+	if r.IsRecovering(now) && !r.wasCalm(now, now) {
 		if e.missingSince < 0 {
 			e.missingSince = now
 			r.entries[id] = e
@@ -193,16 +218,27 @@
 	delete(r.entries, id)
 }
 
-func (r *Registrar) isRecovering(now clock.Millis) bool {
+// IsRecovering reports whether an entry that is missing may have lapsed in an outage, as far as
+// this host has seen one.
+func (r *Registrar) IsRecovering(now clock.Millis) bool {
 	return r.inOutage || now-r.lastOutageEnd < recoveryTime
 }
 
+// wasCalm reports whether an entry that was missing at a time was removed in calm.
+func (r *Registrar) wasCalm(missingAt, now clock.Millis) bool {
+	return now-r.restoredAt >= RestoreGrace && r.continuity.shows(missingAt, now)
+}
+
 // Expire drops the entries that are still missing after missingGrace, or recoveryTime
-// after the last outage, and reports whether there were any.
+// after the last outage, or as soon as another host shows that they were removed in calm. It
+// reports whether there were any.
 func (r *Registrar) Expire(now clock.Millis) bool {
 	dropped := false
 	for id, e := range r.entries {
-		if e.missingSince >= 0 && !r.inOutage && (now-e.missingSince >= missingGrace || !r.isRecovering(now)) {
+		if e.missingSince < 0 {
+			continue
+		}
+		if r.wasCalm(e.missingSince, now) || !r.inOutage && (now-e.missingSince >= missingGrace || !r.IsRecovering(now)) {
 			r.drop(id, now)
 			dropped = true
 		}
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -184,3 +184,62 @@
 	r.Remove("b", 27200)
 	assertHas(t, r, "removed later than that", "b", false)
 }
+
+// A host that was cut off kept entries for 2.1 s that had been removed in calm, as another host
+// knew. A server that left got requests that long after the cut.
+func TestRemovedInCalmElsewhere(t *testing.T) {
+	for step, test := range map[string]struct {
+		since, until clock.Millis
+		restored     bool
+		dropped      bool
+	}{
+		"no gap elsewhere":                         {since: 10000, until: 24900, dropped: true},
+		"an outage elsewhere ended 2.1 s before":   {since: 22900, until: 24900, dropped: true},
+		"an outage elsewhere ended later":          {since: 22901, until: 24900},
+		"nothing heard shortly before":             {since: 10000, until: 24599},
+		"restored just now":                        {since: 10000, until: 24900, restored: true},
+		"an outage elsewhere begins with the list": {since: 25001, until: 25001},
+	} {
+		for order, listFirst := range map[string]bool{"known before the list": false, "known after the list": true} {
+			r := New()
+			r.Replace([]Server{entry("a"), entry("b")}, 10000)
+			r.StartOutage(20000)
+			if test.restored {
+				r.StartRestore(25000)
+			}
+			if listFirst {
+				r.Replace([]Server{entry("b")}, 25000)
+			}
+			r.RecordContinuity(test.since, test.until)
+			if !listFirst {
+				r.Replace([]Server{entry("b")}, 25000)
+			}
+			r.Expire(25000)
+			assertHas(t, r, step+", "+order, "a", !test.dropped)
+			assertHas(t, r, step+", "+order, "b", true)
+		}
+	}
+	t.Run("removal heard of during the outage", func(t *testing.T) {
+		r := New()
+		r.Replace([]Server{entry("a"), entry("b")}, 10000)
+		r.StartOutage(20000)
+		r.Remove("a", 24000)
+		r.RecordContinuity(10000, 25000)
+		r.Remove("b", 25000)
+		r.Expire(25000)
+		assertHas(t, r, "heard before the report", "a", false)
+		assertHas(t, r, "heard with the report", "b", false)
+	})
+	t.Run("several reports", func(t *testing.T) {
+		r := New()
+		r.RecordContinuity(10000, 24900)
+		r.RecordContinuity(24800, 24950)
+		if r.continuity != (continuity{10000, 24900}) {
+			t.Errorf("a report of a shorter time replaced a longer one: %v", r.continuity)
+		}
+		r.RecordContinuity(24800, 25301)
+		if r.continuity != (continuity{24800, 25301}) {
+			t.Errorf("an outdated report was kept: %v", r.continuity)
+		}
+	})
+}
