courier: a response that ends with its connection must end in order

A server read a part of a large upload, answered 200 without a length and reset the connection.

Cause: the socket reports a reset once. The goroutine that writes the body got it, the reader saw a plain end, and roundTrip dropped the error of the write. More generally, the end of the input was taken for the end of the message, without asking for other signs.

Change: a body without a length counts as whole only if the socket has taken all of the request, no read or write on the connection has failed, and the socket shows an end in order: no error pending, not reset, all bytes acknowledged (peeker.HasEndedInOrder; a system that does not tell leaves the other signs). Responses with a length or in chunks tell their end themselves and stay valid while the upload is under way. A server that ends its output before it has got the whole upload, and states no length, gives no whole response: in doubt it is cut.

Ruled out: waiting for the goroutine that writes, which may wait for the caller; a count of accepted bytes under the mutex of the write needs no wait.

--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -33,6 +33,8 @@
 	// ErrIncompleteBody means that the request body could not be read to its end, so that the
 	// server got at most a part of it.
 	ErrIncompleteBody = errors.New("request body is incomplete")
+	// ErrCutResponse means that the end of a response can't be told from its being cut off.
+	ErrCutResponse = errors.New("response may be cut off")
 	// ErrMismatchedResponse means that the bytes read may be a response to another request.
 	ErrMismatchedResponse = errors.New("response may belong to another request")
 )
@@ -159,9 +161,8 @@
 func (c *Courier) connect(ctx context.Context, target Target, id string, fresh bool) (*connection, error) {
 	if id != "" {
 		if conn := c.pool.get(target, id, fresh, c.cfg.Clock.Now()); conn != nil {
-			conn.bytesWritten.Store(0)
 			conn.reused = true
-			conn.recordID(id)
+			conn.startRequest(id)
 			return conn, nil
 		}
 	}
@@ -173,7 +174,7 @@
 	}
 	conn := &connection{Conn: netConn}
 	conn.r = bufio.NewReaderSize(conn, 4<<10)
-	conn.recordID(id)
+	conn.startRequest(id)
 	return conn, nil
 }
 
@@ -251,6 +252,27 @@
 	return nil, false, fmt.Errorf("%w: none of %d responses matches", ErrMismatchedResponse, maxSkippedResponses)
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(httpResp *http.Response) bool {
+	return httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 && httpResp.Body != http.NoBody
+}
+
+// bodyUntilEnd is a body that ends with the connection. It is complete only if the connection
+// has ended in order.
+type bodyUntilEnd struct {
+	io.Reader
+	conn *connection
+}
+
+// Read implements io.Reader.
+func (b bodyUntilEnd) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && !b.conn.hasEndedOrderly() {
+		err = fmt.Errorf("%w: the connection did not end in order", ErrCutResponse)
+	}
+	return n, err
+}
+
 // discardBody reads a body to its end and fails if it exceeds maxBufferedBody.
 func discardBody(httpResp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxBufferedBody+1))
@@ -273,12 +295,16 @@
 		resp.Stream = httpResp.Body
 		return resp, false, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBufferedBody+1))
+	source := io.Reader(httpResp.Body)
+	if endsWithConnection(httpResp) {
+		source = bodyUntilEnd{source, conn}
+	}
+	body, err := io.ReadAll(io.LimitReader(source, maxBufferedBody+1))
 	if err != nil {
 		return nil, false, err
 	}
 	if len(body) > maxBufferedBody {
-		resp.Stream = io.NopCloser(io.MultiReader(strings.NewReader(string(body)), httpResp.Body))
+		resp.Stream = io.NopCloser(io.MultiReader(strings.NewReader(string(body)), source))
 		resp.ContentLength = -1
 		return resp, false, nil
 	}
@@ -313,10 +339,11 @@
 			fmt.Fprintf(w, "Content-Length: %d\r\n", len(req.Body))
 		}
 		_, _ = w.WriteString("\r\n")
+		conn.expectBytes(int64(w.Buffered() + len(req.Body)))
 		_, _ = w.Write(req.Body)
 		return w.Flush()
 	}
-	return writeStreamedBody(w, req)
+	return writeStreamedBody(conn, w, req)
 }
 
 // methodHasBody reports whether a request of this method states the length of its
@@ -337,10 +364,14 @@
 	return n, err
 }
 
-func writeStreamedBody(w *bufio.Writer, req *Request) error {
+// lastChunk ends a body in chunks.
+const lastChunk = "0\r\n\r\n"
+
+func writeStreamedBody(conn *connection, w *bufio.Writer, req *Request) error {
 	stream := sourceReader{req.Stream}
 	if req.ContentLength >= 0 {
 		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", req.ContentLength)
+		conn.expectBytes(int64(w.Buffered()) + req.ContentLength)
 		n, err := io.Copy(w, io.LimitReader(stream, req.ContentLength))
 		if err != nil {
 			return err
@@ -363,7 +394,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_, _ = w.WriteString("0\r\n\r\n")
+			conn.expectBytes(int64(len(lastChunk)))
+			_, _ = w.WriteString(lastChunk)
 			return w.Flush()
 		}
 		if err != nil {
--- a/pkg/courier/pool.go
+++ b/pkg/courier/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -45,6 +46,14 @@
 	r *bufio.Reader
 	// bytesWritten is the number of bytes of the current request that may have been sent.
 	bytesWritten atomic.Int64
+	// mu guards the fields below up to failed. It is held during a write, so that a reader
+	// that holds it knows the outcome of all writes begun before.
+	mu sync.Mutex
+	// accepted is the number of bytes of the current request that the socket has taken, and
+	// total that of all its bytes, negative while it is not known.
+	accepted, total int64
+	// failed is set once a read or a write has failed other than by an orderly end.
+	failed bool
 	// readBudget is the number of bytes that may still be read; negative means no limit.
 	readBudget int
 	// reused is set if the connection has carried an earlier request.
@@ -70,7 +79,40 @@
 // Write counts bytes before it writes them, because a failed write may have sent some.
 func (c *connection) Write(p []byte) (int, error) {
 	c.bytesWritten.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.accepted += int64(n)
+	c.failed = c.failed || err != nil
+	return n, err
+}
+
+// startRequest prepares the connection for the next request.
+func (c *connection) startRequest(id string) {
+	c.recordID(id)
+	c.bytesWritten.Store(0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepted, c.total = 0, -1
+}
+
+// expectBytes records that the request ends after n more bytes than were written so far.
+func (c *connection) expectBytes(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total = c.accepted + n
+}
+
+// hasEndedOrderly reports, after the end of the input, whether the server ended the connection
+// in order, as far as the host can tell: it has got the whole request, no read or write has
+// failed, and the connection was not reset. The socket reports a reset once, either to a read
+// or to a write that goes on concurrently; the other one sees a plain end.
+func (c *connection) hasEndedOrderly() bool {
+	// Nothing more is sent: a write that still waits is part of an unfinished request.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.failed && c.accepted == c.total && peeker.HasEndedInOrder(c.Conn)
 }
 
 // abort closes the connection with a reset, so that the server does not get bytes that are
@@ -94,6 +136,11 @@
 	if c.readBudget > 0 {
 		c.readBudget -= n
 	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		c.mu.Lock()
+		c.failed = true
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
