steerer: a response that is cut is reset towards HTTP/1.0 callers

What callers saw: with HTTP/1.0, a large response without a length that was cut on the way looked whole, because the connection was closed in order.

Cause: an HTTP/1.0 caller gets no chunks, so that only the connection's end ends the response, and net/http closes it in order after http.ErrAbortHandler.

Change: while such a response is under way the connection is set to end with a reset (screener.ResetOnClose), which also covers a panic and the end of the process; once it is whole, that is taken back. HTTP/1.1 is unchanged.

--- a/pkg/screener/screener.go
+++ b/pkg/screener/screener.go
@@ -140,6 +140,23 @@
 	return ok && peeker.Peek(c.Conn) == peeker.Closed
 }
 
+// ResetOnClose sets whether the connection of a request ends with a reset when it is closed, also
+// by the end of the process. ctx is the context of the request. A response whose end only the
+// end of the connection shows must not look complete if it is cut.
+func ResetOnClose(ctx context.Context, reset bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(linger) // on failure the connection is closed already
+	}
+}
+
 // nextHeader returns the header of the request that a handler starts to serve.
 func (c *conn) nextHeader() headerInfo {
 	c.mu.Lock()
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -85,11 +85,20 @@
 		return
 	}
 	defer resp.Stream.Close()
+	endsWithConn := resp.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		// An HTTP/1.0 caller gets no chunks, so that the response ends with its connection.
+		// Only a reset tells that it is cut, also by a panic or the end of this process.
+		s.cfg.ResetOnClose(c.r.Context(), true)
+	}
 	if _, err := io.Copy(c.w, resp.Stream); err != nil {
 		s.cfg.Log.Warn().Str("request", c.id).Str("server", c.choice.Server.ID).Err(err).Msg("answer_cut")
 		// A truncated response must not look complete.
 		panic(http.ErrAbortHandler)
 	}
+	if endsWithConn {
+		s.cfg.ResetOnClose(c.r.Context(), false)
+	}
 }
 
 // refuse sends a refusal to the caller.
--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -86,7 +86,7 @@
 		},
 		RecordAttempt: func(balancer.Attempt) bool { return false }, CountRequest: func(string) {},
 		AllowRetry: func(string) rationer.RetryDecision { return rationer.RetryDecision{Allowed: true} }, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
-		CallerLeft: screener.HasDisconnected, Stop: func() *Stop { return nil }, Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
+		CallerLeft: screener.HasDisconnected, ResetOnClose: screener.ResetOnClose, Stop: func() *Stop { return nil }, Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -97,6 +97,8 @@
 	// CallerLeft reports whether the caller of the request with this context has
 	// disconnected.
 	CallerLeft func(ctx context.Context) bool
+	// ResetOnClose sets whether the caller's connection ends with a reset when it is closed.
+	ResetOnClose func(ctx context.Context, reset bool)
 	// Stop returns the planned stop of the host, nil if there is none.
 	Stop  func() *Stop
 	Clock clock.Clock
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -105,7 +105,7 @@
 			}
 			return resp, err
 		},
-		SplitPoint: func(string) float64 { return 0 }, CallerLeft: func(ctx context.Context) bool { return ctx.Err() != nil }, Stop: func() *Stop { return f.stop },
+		SplitPoint: func(string) float64 { return 0 }, CallerLeft: func(ctx context.Context) bool { return ctx.Err() != nil }, ResetOnClose: func(context.Context, bool) {}, Stop: func() *Stop { return f.stop },
 		Clock: f.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
 	})
 	test(f)
