Memory and connections of clients are bounded by one budget

Nothing counted connections or descriptors.

Cause: a body of up to 1 MB was held for each request without a bound on their sum; look-ups, readiness checks and metrics took headers of 1 MB; a header field costs far more memory than its bytes; refused requests waited for their bodies without a deadline; nothing bounded writes to clients that don't read.

Change: - pkg/reserver decides: a budget of bytes and of connections, holders with what they do and their last progress, and which of them end when room is short.

Streaming the bodies of requests that run once, instead of refusing them without room, would let stopped bodies take servers' slots; not done.

--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -60,8 +61,10 @@
 	// configuration, and always to the platform's calls.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
-	// maxHeaderBytes limits the memory for a request header, whatever is configured.
-	maxHeaderBytes = 1 << 20
+	// maxHeaderBytes limits a request header, whatever is configured, and maxOwnHeaderBytes
+	// that of look-ups, readiness checks and metrics.
+	maxHeaderBytes    = 1 << 20
+	maxOwnHeaderBytes = 8 << 10
 )
 
 func (c *Commander) hostCommand() *ffcli.Command {
@@ -90,10 +93,9 @@
 	if err != nil {
 		return usageError("%v", err)
 	}
+	setClientDefaults(&settings)
 	debug.SetGCPercent(gcPercent)
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
-	}
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
 	return runHost(ctx, settings, log.For(logger.Traffic))
 }
 
@@ -105,6 +107,8 @@
 	peerDialer := dialer.New(dialer.Config{})
 	clk := clock.NewBootTime()
 	metrics := meter.New()
+	setClientDefaults(&settings)
+	clients := newClientLimits(settings, clk, metrics, log)
 	h := hoster.New(hostCtx, hoster.Config{
 		Name: settings.Host, Region: settings.Region, AvailabilityZone: settings.AvailabilityZone,
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
@@ -112,12 +116,13 @@
 		RetryBudget: rationer.RetryConfig{Ratio: settings.RetryRatio, Window: settings.RetryWindow, Slack: settings.RetrySlack},
 		RateSlack:   settings.RateSlack, RateOverage: settings.RateOverage, RateWindow: settings.RateWindow, ShiftRate: shiftShareFraction * settings.MaxShift / 2,
 		ColdSenders: max(1, int(settings.ColdSlack-coldSlackReserve)),
-		LookupTTL:   min(lookupTTL, settings.MaxLookupTTL), DialPeer: peerDialer.FleetClient, Clock: clk, Log: log, Meter: metrics,
+		LookupTTL:   min(lookupTTL, settings.MaxLookupTTL), DialPeer: peerDialer.FleetClient,
+		MaxIdleConns: int(idleDescriptors * float64(settings.MaxDescriptors)), Clock: clk, Log: log, Meter: metrics,
 	})
 	client := platform.NewClient(settings.StoreAddress)
 	syncer := platform.NewSyncer(hostCtx, platform.SyncerConfig{
 		Client: client, Self: platform.HostEntry{Name: settings.Host, PeerAddress: settings.PeerAddress, Region: settings.Region},
-		Feed: h.Feed(), RegionOf: settings.RegionOf, Clock: clk, Log: log, Meter: metrics,
+		Feed: clients.watchHosts(h.Feed()), RegionOf: settings.RegionOf, Clock: clk, Log: log, Meter: metrics,
 	})
 	peerServer, err := peerserver.New(peerserver.Config{
 		Register: func(mux drpc.Mux) error { return schema.DRPCRegisterFleet(mux, h) },
@@ -131,12 +136,12 @@
 		return err
 	}
 	go func() {
-		if err := peerServer.Serve(hostCtx, peerListener); err != nil && hostCtx.Err() == nil {
+		if err := peerServer.Serve(hostCtx, clients.wrapPeers(peerListener)); err != nil && hostCtx.Err() == nil {
 			log.Error().Err(err).Msg("peer_listener_failed")
 		}
 	}()
 	go syncer.Run(hostCtx)
-	callers, err := listenHTTP(settings, h, metrics, log)
+	callers, err := listenHTTP(settings, h, clients, metrics, log)
 	if err != nil {
 		return err
 	}
@@ -206,7 +211,7 @@
 
 // listenHTTP starts the servers for callers, look-ups, readiness and metrics, and returns the
 // first one.
-func listenHTTP(settings platform.Settings, h *hoster.Host, metrics *meter.Meter, log zerolog.Logger) (*callerServer, error) {
+func listenHTTP(settings platform.Settings, h *hoster.Host, clients *clientLimits, metrics *meter.Meter, log zerolog.Logger) (*callerServer, error) {
 	handlers := []struct {
 		address string
 		handler http.Handler
@@ -214,12 +219,17 @@
 		{settings.CallerAddress, h.Steerer()},
 		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) })},
 		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready)},
-		{settings.MetricsAddress, platform.MetricsHandler(metrics.WriteText)},
+		{settings.MetricsAddress, platform.MetricsHandler(func(w io.Writer) {
+			clients.recordUsage()
+			metrics.WriteText(w)
+		})},
 	}
-	headerScreener := screener.New(screener.Config{Limits: callerLimits(h), OnRefused: func(remote, reason string) {
+	onRefused := func(remote, reason string) {
 		metrics.Add("headers_refused", 1)
 		log.Warn().Str("caller", remote).Str("reason", reason).Msg("request_refused_by_header")
-	}})
+	}
+	callerScreener := screener.New(screener.Config{Limits: callerLimits(h), OnRefused: onRefused})
+	ownScreener := screener.New(screener.Config{Limits: ownLimits, OnRefused: onRefused, IgnoreBodies: true})
 	var callers *callerServer
 	for i, l := range handlers {
 		if l.address == "" {
@@ -230,12 +240,15 @@
 			return nil, fmt.Errorf("listen on %s: %w", l.address, err)
 		}
 		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: stdlog.New(httpErrorLog{log}, "", 0),
+			Handler: l.handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: stdlog.New(httpErrorLog{log}, "", 0),
+		}
+		headerScreener := ownScreener
+		if i == 0 {
+			headerScreener = callerScreener
 		}
+		headerScreener.Install(server)
+		listener = headerScreener.WrapListener(clients.wrapCallers(listener))
 		if i == 0 {
-			headerScreener.Install(server)
-			listener = headerScreener.WrapListener(listener)
 			callers = &callerServer{server: server, listener: listener}
 			server.ConnState = callers.trackConn
 		}
@@ -257,6 +270,13 @@
 	return len(line), nil
 }
 
+// ownLimits returns the limits for look-ups, readiness checks and metrics.
+func ownLimits() screener.Limits {
+	return screener.Limits{
+		HeaderBytes: maxOwnHeaderBytes, HeaderTimeout: clock.FromDuration(defaultHeaderTimeout), IdleTimeout: clock.FromDuration(defaultIdleTimeout),
+	}
+}
+
 // callerLimits returns a function that returns the current limits for callers.
 func callerLimits(h *hoster.Host) func() screener.Limits {
 	return func() screener.Limits {
--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -62,6 +62,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Clock measures how long connections are idle.
 	Clock clock.Clock
+	// MaxIdleConns bounds the idle connections to all servers together; 0 means no bound.
+	MaxIdleConns int
 }
 
 // Courier sends requests to backend servers.
@@ -75,7 +77,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dial
 	}
-	return &Courier{cfg: cfg, pool: newPool()}
+	return &Courier{cfg: cfg, pool: newPool(cfg.MaxIdleConns)}
 }
 
 // Target identifies the server that gets a request.
--- a/pkg/courier/pool.go
+++ b/pkg/courier/pool.go
@@ -108,11 +108,17 @@
 
 // pool holds idle connections for each server.
 type pool struct {
-	mu   sync.Mutex
-	idle map[Target][]*connection
+	// maxConns bounds the idle connections to all servers together; 0 means no bound.
+	maxConns int
+
+	mu    sync.Mutex
+	idle  map[Target][]*connection
+	conns int
 }
 
-func newPool() *pool { return &pool{idle: make(map[Target][]*connection)} }
+func newPool(maxConns int) *pool {
+	return &pool{maxConns: maxConns, idle: make(map[Target][]*connection)}
+}
 
 // get returns the most recently used connection that is still reusable and has not carried a
 // request with the given ID lately, or nil.
@@ -142,6 +148,7 @@
 	}
 	c := conns[len(conns)-1]
 	p.idle[target] = conns[:len(conns)-1]
+	p.conns--
 	return c
 }
 
@@ -149,11 +156,12 @@
 	c.idleSince = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[target]) >= maxIdleConnsPerServer {
+	if len(p.idle[target]) >= maxIdleConnsPerServer || (p.maxConns > 0 && p.conns >= p.maxConns) {
 		_ = c.Close()
 		return
 	}
 	p.idle[target] = append(p.idle[target], c)
+	p.conns++
 }
 
 // sweep closes connections past their idle timeout and those to servers for which
@@ -168,6 +176,7 @@
 				kept = append(kept, c)
 			} else {
 				_ = c.Close()
+				p.conns--
 			}
 		}
 		p.idle[target] = kept
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -117,6 +117,8 @@
 	ShiftRate float64
 	// ColdSenders bounds the number of hosts that send requests to one cold server.
 	ColdSenders int
+	// MaxIdleConns bounds the idle connections to backend servers; 0 means no bound.
+	MaxIdleConns int
 	// LookupTTL is the time for which callers cache a look-up answer.
 	LookupTTL clock.Millis
 	// DialPeer returns a client of another host.
@@ -208,7 +210,7 @@
 		retryBudget: rationer.NewRetryBudget(cfg.RetryBudget), splitPoints: make(map[string]float64),
 		startedAt: cfg.Clock.Now(), fleet: newFleet(cfg, incarnation),
 		relayer: relayer.New(cfg.ObjectKinds...), relayedBatches: make(chan relayer.Batch, relayQueueSize),
-		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
+		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock, MaxIdleConns: cfg.MaxIdleConns}),
 		registrar: registrar.New(), evacuations: newEvacuations(),
 		probing: make(map[string]bool),
 	}
--- a/pkg/screener/scanner.go
+++ b/pkg/screener/scanner.go
@@ -9,6 +9,8 @@
 type headerInfo struct {
 	// size is the number of bytes, including the request line.
 	size int
+	// fields is the number of lines.
+	fields int
 	// hasContentLength and hasTransferEncoding tell whether the header has these fields.
 	hasContentLength, hasTransferEncoding bool
 	// folded tells whether a line continues the previous one.
@@ -73,6 +75,7 @@
 		line := bytes.TrimRight(s.linePrefix, "\r\n")
 		if s.state == requestLine || s.state == headerLine {
 			s.header.size += s.lineBytes
+			s.header.fields++
 		}
 		if s.handleLine(line) {
 			headers = append(headers, s.header)
@@ -83,6 +86,15 @@
 	return headers
 }
 
+// unfinishedHeader returns the header that is being read, as far as it was read.
+func (s *scanner) unfinishedHeader() headerInfo {
+	h := s.header
+	if s.state == requestLine || s.state == headerLine {
+		h.size += s.lineBytes
+	}
+	return h
+}
+
 // handleLine parses a complete line and reports whether it ends a header.
 func (s *scanner) handleLine(line []byte) (endsHeader bool) {
 	switch s.state {
--- a/pkg/screener/screener.go
+++ b/pkg/screener/screener.go
@@ -1,6 +1,7 @@
 // Package screener rejects requests that net/http accepts but a proxy should not
 // pass on, and bounds the size and time of headers by limits that may change while
-// connections are open.
+// connections are open. On connections of package accepter, it reserves the memory of
+// headers while they are read.
 //
 // A request with both a Content-Length and a Transfer-Encoding, or with a folded
 // header line, can be read in two ways and so smuggle another request. It is
@@ -10,13 +11,18 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"catkindyke/pkg/accepter"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/peeker"
+	"catkindyke/pkg/reserver"
 )
 
 // Limits bound what callers send. A field that is 0 sets no bound.
@@ -39,6 +45,16 @@
 	// placeholderTolerance is longer than the time between the computation of a
 	// deadline and its use.
 	placeholderTolerance = time.Hour
+	// requestBytes is reserved for each request, and covers most headers, bodies and responses.
+	requestBytes = 8 << 10
+	// fieldBytes is the memory for a header field beyond its text: entries of two maps,
+	// since headers are copied when they are passed on, and strings and slices.
+	fieldBytes = 256
+	// refusalTimeout bounds the write of a refusal and the time for which the rest of a
+	// refused request is read, so that the refusal is not lost in a reset.
+	refusalTimeout = 250 * time.Millisecond
+	// refusedBytes is the largest part of a refused request that is read.
+	refusedBytes = 64 << 10
 )
 
 // Config configures a screener.
@@ -47,6 +63,8 @@
 	Limits func() Limits
 	// OnRefused is called for each refused request.
 	OnRefused func(remote, reason string)
+	// IgnoreBodies closes connections on which a request has a body, after the response.
+	IgnoreBodies bool
 }
 
 // Screener checks the requests on the connections of one server.
@@ -63,13 +81,22 @@
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			if status, reason := s.checkHeader(c.nextHeader()); status != 0 {
+			c.isServing.Store(true)
+			defer c.endRequest()
+			if status, reason := s.admit(c); status != 0 {
 				s.cfg.OnRefused(r.RemoteAddr, reason)
+				LimitUnreadBody(w, r, 0)
 				w.Header().Set("Connection", "close")
+				if status == http.StatusServiceUnavailable {
+					w.Header().Set("Retry-After", retryAfter)
+				}
 				w.WriteHeader(status)
 				return
 			}
 		}
+		if s.cfg.IgnoreBodies {
+			LimitUnreadBody(w, r, 0)
+		}
 		next.ServeHTTP(w, r)
 	})
 	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeoutPlaceholder, idleTimeoutPlaceholder
@@ -78,6 +105,34 @@
 	}
 }
 
+// retryAfter is the time after which a client may repeat a request for which there was no room.
+const retryAfter = "0.5"
+
+// LimitUnreadBody bounds what net/http reads of a body that the handler doesn't read. If the
+// body may be larger than maxBytes, the connection ends after the response.
+func LimitUnreadBody(w http.ResponseWriter, r *http.Request, maxBytes int64) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxBytes {
+		w.Header().Set("Connection", "close")
+	}
+	// A connection without deadlines has no client that could stop half-way.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalTimeout))
+}
+
+// admit reserves the memory of the request that a handler starts to serve, and checks its header.
+func (s *Screener) admit(c *conn) (status int, reason string) {
+	if status, reason = s.checkHeader(c.nextHeader()); status != 0 {
+		return status, reason
+	}
+	c.held.SetPhase(reserver.Serving)
+	if c.held.Reserve(reserver.Request, requestBytes) != nil {
+		return http.StatusServiceUnavailable, "no_room"
+	}
+	return 0, ""
+}
+
 // checkHeader returns the status and reason of a refusal, 0 if the request is accepted.
 func (s *Screener) checkHeader(h headerInfo) (status int, reason string) {
 	limits := s.cfg.Limits()
@@ -106,30 +161,116 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, screener: l.screener}, nil
+	held, _ := c.(*accepter.Conn)
+	return &conn{Conn: c, held: held, screener: l.screener}, nil
 }
 
 // conn records the headers of the requests that are read from it, in order.
 type conn struct {
 	net.Conn
+	// held is the connection's part of the budget, nil if there is none.
+	held     *accepter.Conn
 	screener *Screener
+	// isServing is set while a handler serves a request.
+	isServing atomic.Bool
 
 	mu      sync.Mutex
 	scanner scanner
 	headers []headerInfo
+	// headerBytes is what is reserved for headers.
+	headerBytes int
+	// refusal is the status of the response to a header that is still being read, or 0.
+	refusal int
+	reason  string
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It refuses a header that is too large before it is read to its end.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.refuseHeader() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
 		c.headers = c.scanner.scan(p[:n], c.headers)
+		c.checkUnfinished()
 		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// checkUnfinished reserves the memory of a header that is being read.
+func (c *conn) checkUnfinished() {
+	h := c.scanner.unfinishedHeader()
+	if c.refusal != 0 || h.size == 0 {
+		return
+	}
+	if limit := c.screener.cfg.Limits().HeaderBytes; limit > 0 && h.size > limit {
+		c.refusal, c.reason = http.StatusRequestHeaderFieldsTooLarge, "header_too_large"
+		return
+	}
+	more := h.size + fieldBytes*h.fields - requestBytes - c.headerBytes
+	if c.held == nil || more <= 0 {
+		return
+	}
+	more = max(more, requestBytes)
+	if c.held.Reserve(reserver.Header, more) != nil {
+		c.refusal, c.reason = http.StatusServiceUnavailable, "no_room"
+		return
+	}
+	c.headerBytes += more
+}
+
+// refuseHeader sends the refusal of an unfinished header. While a handler serves an earlier
+// request, its response comes first.
+func (c *conn) refuseHeader() bool {
+	c.mu.Lock()
+	status, reason := c.refusal, c.reason
+	c.mu.Unlock()
+	if status == 0 || c.isServing.Load() {
+		return false
+	}
+	c.screener.cfg.OnRefused(c.RemoteAddr().String(), reason)
+	deadline := time.Now().Add(refusalTimeout)
+	_ = c.SetWriteDeadline(deadline)
+	extra := ""
+	if status == http.StatusServiceUnavailable {
+		extra = "Retry-After: " + retryAfter + "\r\n"
+	}
+	// The connection ends, whether or not the client reads this.
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n%s\r\n", status, http.StatusText(status), extra)
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(deadline)
+	_, _ = io.CopyN(io.Discard, c.Conn, refusedBytes)
+	return true
+}
+
+// endRequest gives back what a request took.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	c.headerBytes = 0
+	c.mu.Unlock()
+	c.held.EndRequest()
+	c.isServing.Store(false)
+}
+
+// CloseWrite closes the direction to the client.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Held returns the part of the budget that the connection of a request holds, nil if there is
+// none. ctx is the context of the request.
+func Held(ctx context.Context) *accepter.Conn {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c.held
+	}
+	return nil
+}
+
 // HasDisconnected reports whether the caller of a request has closed its connection. ctx is
 // the context of the request, which net/http cancels somewhat later.
 func HasDisconnected(ctx context.Context) bool {
--- a/pkg/screener/screener_test.go
+++ b/pkg/screener/screener_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"catkindyke/pkg/accepter"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/reserver"
 )
 
 // startServer starts a screened server that responds with the path and the body that it read.
@@ -173,3 +175,62 @@
 		}
 	})
 }
+
+// startBudgeted starts a server whose connections hold a part of a budget of n bytes. The
+// handler calls serve before it responds.
+func startBudgeted(t *testing.T, n int64, limits Limits, serve func()) (address string, budget *reserver.Budget) {
+	t.Helper()
+	budget = reserver.New(reserver.Config{Bytes: n, Conns: 10, Descriptors: 10, ConnBytes: 1})
+	s := New(Config{Limits: func() Limits { return limits }, OnRefused: func(string, string) {}})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		serve()
+		fmt.Fprint(w, "served")
+	})}
+	s.Install(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := accepter.Config{Budget: budget, Clock: (&clock.Manual{}).Clock(), OnCut: func(string, string) {}}
+	go func() { _ = server.Serve(s.WrapListener(accepter.Wrap(l, cfg))) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String(), budget
+}
+
+// Guards against headers of many short fields, which take far more memory than their bytes, and
+// against headers that are refused only once they have been read to their end.
+func TestUnfinishedHeaders(t *testing.T) {
+	fields := strings.Repeat("f: 1\r\n", 1000)
+	unfinished := "GET /a HTTP/1.1\r\nHost: a\r\n" + fields
+	address, _ := startBudgeted(t, 1<<20, Limits{HeaderBytes: 5000}, func() {})
+	assertResponses(t, send(t, address, unfinished, 1000), "431")
+	assertResponses(t, send(t, address, plainRequest+unfinished, 7000), "200 served", "431")
+	address, budget := startBudgeted(t, 100<<10, Limits{}, func() {})
+	assertResponses(t, send(t, address, unfinished, 1000), "503")
+	assertResponses(t, send(t, address, plainRequest, 1000), "200 served")
+	for _, n := range budget.Usage().Bytes {
+		if n > 2 {
+			t.Errorf("%d bytes are still reserved", n)
+		}
+	}
+	address, _ = startBudgeted(t, 1<<20, Limits{HeaderBytes: 10_000}, func() {})
+	assertResponses(t, send(t, address, unfinished+"\r\n", 1000), "200 served")
+}
+
+// Guards against requests that are served without room for them, and against a refusal that
+// overtakes the response to an earlier request.
+func TestRequestWithoutRoom(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	address, _ := startBudgeted(t, requestBytes+1000, Limits{}, func() {
+		close(started)
+		<-release
+	})
+	first := make(chan []string)
+	go func() {
+		first <- send(t, address, plainRequest+"GET /a HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("f: 1\r\n", 1000), 7000)
+	}()
+	<-started
+	assertResponses(t, send(t, address, plainRequest, 100), "503")
+	close(release)
+	assertResponses(t, <-first, "200 served", "503")
+}
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -10,6 +10,7 @@
 
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/courier"
+	"catkindyke/pkg/screener"
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -101,6 +102,9 @@
 	if ref.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(float64(ref.retryAfter)/1000, 'f', 3, 64))
 	}
+	if !c.bodyRead {
+		screener.LimitUnreadBody(c.w, c.r, maxRefusedBody)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	s.cfg.Meter.Add("refused_"+ref.reason, 1)
 	s.cfg.Meter.Observe("refusal_ms", int64(s.cfg.Clock.Now()-c.start))
--- a/pkg/steerer/body.go
+++ b/pkg/steerer/body.go
@@ -4,8 +4,53 @@
 	"errors"
 	"io"
 	"sync"
+
+	"catkindyke/pkg/accepter"
+	"catkindyke/pkg/reserver"
+)
+
+const (
+	// firstBodyPiece is the part of a body that the room of each request covers.
+	firstBodyPiece = 4 << 10
+	// largeBody is the size from which a body gets a larger receive buffer.
+	largeBody = 32 << 10
 )
 
+// readHeld reads a body up to one byte more than maxBufferedBody. Memory is reserved before it
+// is taken, for at most twice of what has arrived. length is negative if it is unknown.
+func readHeld(held *accepter.Conn, r io.Reader, length int64) ([]byte, error) {
+	limit := maxBufferedBody + 1
+	if length >= 0 {
+		limit = min(limit, int(length)+1)
+	}
+	body := make([]byte, 0, min(limit, firstBodyPiece))
+	for len(body) < limit {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), limit)
+			if err := held.Reserve(reserver.Body, size); err != nil {
+				return nil, err
+			}
+			if size >= largeBody {
+				held.GrowReceiveBuffer()
+			}
+			old := cap(body)
+			body = append(make([]byte, 0, size), body...)
+			if old > firstBodyPiece {
+				held.Release(reserver.Body, old)
+			}
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // errAttemptOver is returned to an attempt that reads the body after it has ended.
 var errAttemptOver = errors.New("the attempt has ended")
 
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -16,12 +15,15 @@
 
 	"github.com/rs/zerolog"
 
+	"catkindyke/pkg/accepter"
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/cataloger"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/reserver"
+	"catkindyke/pkg/screener"
 )
 
 const (
@@ -38,6 +40,10 @@
 	// otherHostRetryAfter is short because another host can serve the caller at once,
 	// for example if this one is not ready.
 	otherHostRetryAfter clock.Millis = 100
+	// noRoomRetryAfter is the time in which most slow bodies that take the room have ended.
+	noRoomRetryAfter clock.Millis = 500
+	// maxRefusedBody is the largest unread body after which a connection is used again.
+	maxRefusedBody = 16 << 10
 )
 
 // Headers holds the names of the headers that callers and backend servers use.
@@ -134,6 +140,8 @@
 	// callerTimeout is the time that the caller stated, or 0 if it stated none.
 	callerTimeout clock.Millis
 	body          []byte
+	// bodyRead is set once the body has been read to its end.
+	bodyRead bool
 	// stream is the request body if it is too large to be held in memory.
 	stream           *streamedBody
 	attemptedServers []string
@@ -241,7 +249,13 @@
 	}
 	c.service = c.chooseService(s.cfg.SplitPoint)
 	s.cfg.CountRequest(c.service)
-	return s.readBody(c)
+	if ref := s.readBody(c); ref != nil {
+		return ref
+	}
+	if screener.Held(c.r.Context()).Forward() != nil {
+		return &refusal{http.StatusServiceUnavailable, "no_room", noRoomRetryAfter}
+	}
+	return nil
 }
 
 // recheckKey checks the key again before each attempt: since the last check, the
@@ -304,29 +318,38 @@
 // before the request times out.
 func (s *Steerer) readBody(c *call) *refusal {
 	if c.r.Body == nil || c.r.Body == http.NoBody {
+		c.bodyRead = true
 		return nil
 	}
+	held := screener.Held(c.r.Context())
+	held.SetPhase(reserver.Receiving)
 	if limit := c.catalog.Limits().MaxBodyBytes; limit > 0 {
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	s.setReadDeadline(c, time.Now().Add(s.timeLeft(c).Duration()))
 	if c.r.ContentLength > maxBufferedBody {
+		held.GrowReceiveBuffer()
+		held.SetPhase(reserver.Streaming)
 		c.stream = &streamedBody{rest: c.r.Body}
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, maxBufferedBody+1))
+	body, err := readHeld(held, c.r.Body, c.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+	case errors.Is(err, accepter.ErrNoRoom):
+		return &refusal{http.StatusServiceUnavailable, "no_room", noRoomRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{http.StatusRequestTimeout, "body_late", 0}
 	case err != nil:
 		return &refusal{http.StatusBadRequest, "unreadable_body", 0}
 	case len(body) > maxBufferedBody:
+		held.SetPhase(reserver.Streaming)
 		c.stream = &streamedBody{head: body, rest: c.r.Body}
 	default:
-		c.body = body
+		c.body, c.bodyRead = body, true
+		held.SetPhase(reserver.Serving)
 		s.setReadDeadline(c, time.Time{})
 	}
 	return nil
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -49,6 +49,9 @@
 	stop *Stop
 }
 
+// testLimits are the limits of testCatalog.
+var testLimits = cataloger.Limits{MaxBodyBytes: 1000}
+
 func testCatalog(t *testing.T) *cataloger.Catalog {
 	t.Helper()
 	services := []cataloger.WeightedService{{Service: "desk", Weight: 1}}
@@ -64,7 +67,7 @@
 		Version: 1, Services: []cataloger.Service{{Name: "desk"}},
 		Routes:     []cataloger.Route{route("/look/", cataloger.Idempotent), route("/book/", cataloger.NonIdempotent), anonymous},
 		Workspaces: []cataloger.Workspace{{Name: "lakes", Keys: []string{"k1"}}},
-		Limits:     cataloger.Limits{MaxBodyBytes: 1000},
+		Limits:     testLimits,
 	})
 	if err != nil {
 		t.Fatal(err)
