balancer: leave servers that fall silent

What callers lack: a server that vanishes without closing its connections holds requests until their time is over, or until TCP gives up after 1.2 s.

Cause: a host takes a server out of use only once a connection to it has failed or a request has used up its time. It sends a server a request every two seconds or so, and until then sends the next one there, too.

Change: a server that has not been heard of since two requests that may be repeated were sent, both of which have waited for twice their estimate, is suspected: no new requests, a health check, at most half of a service's servers (mayEject). Any response ends it, and after a health check that it passes a server is trusted for 2 s, so that slow ones are not checked all the time. With one overdue request, requests that run once avoid the server: they can't be moved later. A request that another attempt has answered for (Superseded) raises the slowdown of its server by the time that it took at least, and is no failure. Metric servers_suspected, event server_suspected.

Ruled out: suspicion by a single overdue request. With work of which 3 in 100 take seven times as long it is as likely long work, and would cost a health check for each.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -84,6 +84,12 @@
 	// CallerTimeout is the time that the caller allowed for the request, 0 if it named
 	// none. A caller that retries after a refusal allows less than others.
 	CallerTimeout clock.Millis
+	// Repeatable requests may be sent again while a server may run them.
+	Repeatable bool
+	// Second marks a second attempt beside the first one. It is refused unless a server that
+	// is warm for the object has a free slot and can answer in time: warming up another one
+	// takes the work of several requests, and has cost others more than it brought.
+	Second bool
 }
 
 // Choice is the result of a placement decision.
@@ -103,6 +109,8 @@
 	// newObject means that the object had no known placement, and that the server is the one
 	// that it should go to.
 	newObject bool
+	// wait follows an attempt that may be repeated until the server is heard of.
+	wait *wait
 }
 
 // Config configures a Balancer.
@@ -158,6 +166,8 @@
 	// hashCounter is the input of the next pseudo-random hash, for the ranking of requests
 	// without an object and for the jitter of RetryAfter.
 	hashCounter uint64
+	// newlySuspected are the servers suspected since the last call of TakeSuspected.
+	newlySuspected []string
 }
 
 // LoadReport is the load that another host reports.
@@ -281,9 +291,18 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: clampRetryAfter(c.warmServiceTime)}
 	}
 	choice := Choice{Server: best.server.Server, Warm: best.warm, InFlight: best.inFlight, EstimatedLatency: clock.Millis(best.estimatedLatency), newObject: best.server == home}
+	if req.Second {
+		if !best.warm || best.queueDelay > 0 || p.standingQueue.isStanding(now) || best.estimatedLatency > maxTimeLeftFactor*float64(req.TimeLeft) {
+			return Choice{Refused: true, Reason: ReasonBusy, RetryAfter: minRetryAfter}
+		}
+		choice.wait = &wait{}
+		return choice
+	}
 	if excess := b.excessDelay(req, c, best, now); excess > 0 {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
 		choice.RetryAfter = clampRetryAfter((excess + c.warmServiceTime) * b.retryJitterFactor())
+	} else if req.Repeatable {
+		choice.wait = &wait{}
 	}
 	return choice
 }
@@ -318,6 +337,7 @@
 	}
 	for _, s := range b.servers {
 		s.recover(elapsed)
+		b.suspectSilent(s, now)
 	}
 	b.purgePlacements(now)
 	b.purgeNotices(now)
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -291,7 +291,7 @@
 		if n := len(b.UnreachableServers(1000)); n != 2 {
 			t.Errorf("%d of 4 servers are unreachable, want 2: the others may only be slow", n)
 		}
-		b.MarkReachable("n0")
+		b.MarkReachable("n0", 0)
 		if b.servers["n0"].isUnavailable(1000) {
 			t.Error("a server is unavailable after a successful health check")
 		}
--- a/pkg/balancer/candidate.go
+++ b/pkg/balancer/candidate.go
@@ -77,6 +77,10 @@
 		cand := b.estimateLatency(s, serviceTime, c)
 		cand.warm = warm
 		cost := cand.estimatedLatency
+		if !req.Repeatable && s.silence.isSilent(now) {
+			// It counts as one that answers at the end of the time left.
+			cost += float64(req.TimeLeft)
+		}
 		if s == home {
 			cost *= affinityFactor
 		}
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -52,6 +52,7 @@
 	cachedHash    uint64
 	score         float64
 	notices       *notices
+	silence       silence
 }
 
 func newServer() *server {
@@ -66,7 +67,7 @@
 }
 
 func (s *server) isUnavailable(now clock.Millis) bool {
-	return s.unreachable || s.notices.draining || now < s.ejectedUntil
+	return s.unreachable || s.silence.suspected || s.notices.draining || now < s.ejectedUntil
 }
 
 func (s *server) isCold(now clock.Millis) bool { return now < s.ColdUntil }
@@ -118,11 +119,13 @@
 	Abandoned
 	// TimedOut means that the time limit ended the attempt.
 	TimedOut
+	// Superseded means that another attempt of the request has answered first.
+	Superseded
 )
 
 // String returns the name of the result in logs and metrics.
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "shed", "unreachable", "abandoned", "timed_out"}[r]
+	return [...]string{"answered", "failed", "shed", "unreachable", "abandoned", "timed_out", "superseded"}[r]
 }
 
 // StartAttempt records that a request is sent to the chosen server. It reports whether
@@ -133,6 +136,7 @@
 		return false
 	}
 	s.localInFlight++
+	s.silence.start(c, req, now)
 	if s.isCold(now) {
 		s.coldTokens--
 	}
@@ -169,6 +173,7 @@
 		return false
 	}
 	s.localInFlight = max(0, s.localInFlight-1)
+	s.silence.end(a, now)
 	if a.Notice != nil {
 		noticeChanged = s.notices.record(*a.Notice, now)
 	}
@@ -187,6 +192,8 @@
 		if a.Duration > silenceFactor*a.Choice.EstimatedLatency && b.mayEject(s, now) {
 			s.unreachable = true
 		}
+	case Superseded:
+		b.observeSuperseded(s, a, now)
 	case Shed, Abandoned:
 	}
 	if s.failureRatio > ejectionFailureRatio && b.mayEject(s, now) {
@@ -241,9 +248,11 @@
 }
 
 // MarkReachable records a successful health check of a server.
-func (b *Balancer) MarkReachable(id string) {
+func (b *Balancer) MarkReachable(id string, now clock.Millis) {
 	if s := b.servers[id]; s != nil {
 		s.unreachable = false
+		s.silence.heard()
+		s.silence.trustedUntil = now + trustedTime
 	}
 }
 
@@ -252,7 +261,7 @@
 func (b *Balancer) UnreachableServers(now clock.Millis) []Server {
 	var out []Server
 	for _, s := range b.servers {
-		if s.unreachable && !s.notices.draining && now >= s.notices.backoffUntil {
+		if (s.unreachable || s.silence.suspected) && !s.notices.draining && now >= s.notices.backoffUntil {
 			out = append(out, s.Server)
 		}
 	}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -293,8 +293,12 @@
 	h.balancer.Tick(now)
 	h.balancer.SetLiveHosts(h.fleet.liveHosts(now))
 	h.rationer.ExpireHosts(now)
-	unreachable := h.balancer.UnreachableServers(now)
+	unreachable, suspected := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected()
 	h.mu.Unlock()
+	for _, id := range suspected {
+		h.cfg.Meter.Add("servers_suspected", 1)
+		h.cfg.Log.Info().Str("server", id).Msg("server_suspected")
+	}
 	for _, s := range unreachable {
 		h.startProbe(s)
 	}
--- a/pkg/hoster/probe.go
+++ b/pkg/hoster/probe.go
@@ -55,7 +55,7 @@
 	h.cfg.Log.Info().Str("server", s.ID).Int64("cold_ms", int64(remainingColdTime)).Msg("server_regained")
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.balancer.MarkReachable(s.ID)
+	h.balancer.MarkReachable(s.ID, h.cfg.Clock.Now())
 }
 
 // checkHealth makes one health check and returns the time for which the server
