host: second attempts of slow requests

Work has a long tail: 3 requests in 100 take seven times as long.

Change: pkg/hedger keeps the recent times by class and says when a second attempt starts: after the 0.95 quantile and twice the estimate, earlier only where a later one would come too late. pkg/steerer runs both, the first usable answer wins, the other is canceled, which resets its connection. Only for requests that may be repeated, with the body in memory and an attempt left; the key is checked again; from the retry budget, of which half stays for retries after failures, and with a twentieth of the work of all requests; at a server that is warm for the object and has a free slot; not in a planned stop, a standing queue, or once the caller has left. Requests that wait at a suspected server move on without the share. If one attempt fails, the other one decides, so that no late answer is lost, and a refusal is given only if neither may have run.

Tests: hedger_test.go; second_test.go in pkg/steerer with real sockets (both slow, the first or both connections reset, the second one fails, the caller leaves, a panic) and in pkg/hoster for the budgets.

--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -21,6 +21,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/gossiper"
+	"catkindyke/pkg/hedger"
 	"catkindyke/pkg/logger"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
@@ -139,6 +140,7 @@
 	balancer    *balancer.Balancer
 	rationer    *rationer.Rationer
 	retryBudget *rationer.RetryBudget
+	hedger      *hedger.Hedger
 	splitPoints map[string]float64
 	// workspaceNames and serverNames resolve the hashes in reports of other hosts.
 	workspaceNames, serverNames namesByHash
@@ -205,7 +207,7 @@
 			ReservationTTL: reservationTTL, ShareSlack: shareSlackFraction * cfg.RateSlack, Incarnation: incarnation,
 			RestartAllowance: restartOverageFraction * cfg.RateOverage * float64(cfg.RateWindow) / 1000,
 		}),
-		retryBudget: rationer.NewRetryBudget(cfg.RetryBudget), splitPoints: make(map[string]float64),
+		retryBudget: rationer.NewRetryBudget(cfg.RetryBudget), hedger: hedger.New(), splitPoints: make(map[string]float64),
 		startedAt: cfg.Clock.Now(), fleet: newFleet(cfg, incarnation),
 		relayer: relayer.New(cfg.ObjectKinds...), relayedBatches: make(chan relayer.Batch, relayQueueSize),
 		courier:   courier.New(courier.Config{IDHeader: cfg.Headers.RequestID, Clock: cfg.Clock}),
@@ -221,6 +223,7 @@
 	h.steerer = steerer.New(steerer.Config{
 		Headers: cfg.Headers, Catalog: h.catalog.Load, ConfigFresh: h.configFresh, Admit: h.admit,
 		ChooseServer: h.chooseServer, RecordAttempt: h.finishAttempt, CountRequest: h.countRequest, AllowRetry: h.allowRetry,
+		SecondDelay: h.secondDelay, ChooseSecond: h.chooseSecond,
 		Send: h.courier.Send, SplitPoint: h.nextSplitPoint, CallerLeft: screener.HasDisconnected, Stop: h.stop.Load, Clock: cfg.Clock, Meter: cfg.Meter,
 		Log: logger.RateLimited(cfg.Log, func() { cfg.Meter.Add("log_lines_left_out", 1) }),
 	})
@@ -389,6 +392,7 @@
 func (h *Host) finishAttempt(x balancer.Attempt) (noticeChanged bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.observeTime(x)
 	return h.balancer.FinishAttempt(x, h.cfg.Clock.Now())
 }
 
@@ -398,6 +402,7 @@
 	now := h.cfg.Clock.Now()
 	h.retryBudget.SetHosts(h.sharingHosts())
 	h.retryBudget.CountRequest(service)
+	h.hedger.CountRequest()
 	h.balancer.CountRequest(service, now)
 }
 
--- /dev/null
+++ b/pkg/hoster/second.go
@@ -0,0 +1,80 @@
+package hoster
+
+import (
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/steerer"
+)
+
+const (
+	// secondTimeFraction is the fraction of the time left in which a second attempt should be
+	// answered that starts as late as possible.
+	secondTimeFraction = 0.9
+	// secondStep is the time below which a second attempt is not put off.
+	secondStep clock.Millis = 20
+)
+
+// secondDelay returns the time after which a request that waits for its first attempt may
+// get a second one.
+func (h *Host) secondDelay(class string, first balancer.Choice) clock.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	earliest, _ := h.hedger.Delays(class, first.EstimatedLatency)
+	return earliest
+}
+
+// chooseSecond decides on a second attempt of a request that has waited for its first one.
+// While the server of that one is suspected to be silent, this is a retry after a failure,
+// and the share of second attempts does not bind it.
+func (h *Host) chooseSecond(req balancer.Request, first balancer.Choice, waited clock.Millis) steerer.SecondChoice {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	suspected := h.balancer.IsSuspected(first.Server.ID)
+	if !suspected && !h.hedger.Allows() {
+		return steerer.SecondChoice{Verdict: steerer.SecondOverShare}
+	}
+	now := h.cfg.Clock.Now()
+	req.Second = !suspected
+	c := h.balancer.Choose(req, now)
+	if c.Refused {
+		return steerer.SecondChoice{Verdict: steerer.SecondNoServer}
+	}
+	if delay := h.secondPutOff(req, first, c, waited); !suspected && delay > secondStep {
+		return steerer.SecondChoice{Verdict: steerer.SecondLater, RetryIn: delay}
+	}
+	h.retryBudget.SetHosts(h.sharingHosts())
+	allow := h.retryBudget.AllowSecond
+	if suspected {
+		allow = h.retryBudget.Allow
+	}
+	if !allow(req.Service).Allowed {
+		return steerer.SecondChoice{Verdict: steerer.SecondOverBudget}
+	}
+	if !suspected {
+		h.hedger.Spend(first.EstimatedLatency, c.EstimatedLatency)
+	}
+	return steerer.SecondChoice{
+		Verdict: steerer.SecondAllowed, Choice: c, KnownWarm: h.balancer.StartAttempt(c, req, now), Suspected: suspected,
+	}
+}
+
+// secondPutOff returns the time for which a second attempt is put off: until its usual
+// delay, or the last moment at which it can still be answered in time.
+func (h *Host) secondPutOff(req balancer.Request, first, second balancer.Choice, waited clock.Millis) clock.Millis {
+	_, usual := h.hedger.Delays(req.Class, first.EstimatedLatency)
+	spare := clock.Millis(secondTimeFraction*float64(req.TimeLeft)) - second.EstimatedLatency
+	return min(usual-waited, spare)
+}
+
+// observeTime records the time of an attempt at a warm server with a free slot. One that
+// was given up took at least that long.
+func (h *Host) observeTime(x balancer.Attempt) {
+	if !x.KnownWarm || x.Choice.InFlight >= x.Choice.Server.Slots {
+		return
+	}
+	switch x.Result {
+	case balancer.Answered, balancer.Superseded, balancer.TimedOut:
+		h.hedger.Observe(x.Class, x.Duration)
+	case balancer.Failed, balancer.Shed, balancer.Unreachable, balancer.Abandoned:
+	}
+}
--- /dev/null
+++ b/pkg/hoster/second_test.go
@@ -0,0 +1,107 @@
+package hoster
+
+import (
+	"testing"
+
+	"catkindyke/pkg/balancer"
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/hedger"
+	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/steerer"
+)
+
+// secondFixture is the part of a host that decides on second attempts.
+type secondFixture struct {
+	*Host
+	clock *clock.Manual
+	req   balancer.Request
+	first balancer.Choice
+	// waited is the time for which the first attempt has run.
+	waited clock.Millis
+}
+
+func withSecond(t *testing.T, test func(f *secondFixture)) {
+	t.Helper()
+	f := &secondFixture{clock: &clock.Manual{}, waited: clock.Second}
+	f.Host = &Host{
+		cfg: Config{Clock: f.clock.Clock()}, balancer: balancer.New(balancer.Config{Region: "n"}), hedger: hedger.New(),
+		retryBudget: rationer.NewRetryBudget(rationer.RetryConfig{Ratio: 0.2, Window: 10000, Slack: 10}), fleet: newFleet(Config{Name: "h"}, 1),
+	}
+	f.hostsListed.Store(true)
+	f.balancer.SetServers([]balancer.Server{{ID: "s0", Service: "desk", Region: "n", Slots: 50}, {ID: "s1", Service: "desk", Region: "n", Slots: 50}})
+	f.req = balancer.Request{Service: "desk", Class: "look", TargetLatency: 200, TimeLeft: 2000, Repeatable: true}
+	f.first, _ = f.chooseServer(f.req)
+	f.req.AttemptedServers = []string{f.first.Server.ID}
+	test(f)
+}
+
+func (f *secondFixture) countRequests(n int) {
+	for range n {
+		f.countRequest("desk")
+	}
+}
+
+func (f *secondFixture) assertVerdict(t *testing.T, step string, want steerer.SecondVerdict) {
+	t.Helper()
+	if got := f.chooseSecond(f.req, f.first, f.waited).Verdict; got != want {
+		t.Errorf("%s: verdict %q, want %q", step, got, want)
+	}
+}
+
+// Second attempts must keep to their share, and leave half of the retry budget for retries
+// after failures.
+func TestSecondAttemptsLeaveBudget(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		f.assertVerdict(t, "no requests yet", steerer.SecondOverShare)
+		f.countRequests(35)
+		f.assertVerdict(t, "35 requests", steerer.SecondAllowed)
+		f.assertVerdict(t, "share used up", steerer.SecondOverShare)
+		f.countRequests(200)
+		for range 4 {
+			f.assertVerdict(t, "budget of 9 retries full", steerer.SecondAllowed)
+		}
+		f.assertVerdict(t, "half of the budget left", steerer.SecondOverBudget)
+		if d := f.allowRetry("desk"); !d.Allowed || d.Left < 4 {
+			t.Errorf("retry after a failure: %+v, want at least 4 left", d)
+		}
+	})
+}
+
+// Requests that wait at a silent server must move on even when slow requests have used up
+// the share, within the retry budget.
+func TestSuspectedServerIsLeft(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		f.countRequests(19) // too few for a second attempt
+		f.balancer.Tick(0)
+		for f.inFlightAt(f.first.Server.ID) < 2 {
+			f.chooseServer(balancer.Request{Service: "desk", Class: "look", TargetLatency: 200, TimeLeft: 2000, Repeatable: true})
+		}
+		f.clock.Advance(clock.Second)
+		f.balancer.Tick(f.clock.Clock().Now())
+		for range 3 {
+			f.assertVerdict(t, "server suspected", steerer.SecondAllowed)
+		}
+		f.assertVerdict(t, "budget spent", steerer.SecondOverBudget)
+	})
+}
+
+func (f *secondFixture) inFlightAt(id string) int { return f.balancer.InFlight()[id] }
+
+// A second attempt must wait until nearly all requests of its kind would be answered, unless
+// it would then be too late for the server that is free.
+func TestSecondAttemptWaits(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		f.countRequests(300)
+		for range 100 {
+			f.hedger.Observe("look", 100)
+		}
+		_, usual := f.hedger.Delays("look", f.first.EstimatedLatency)
+		f.waited = usual - 100
+		d := f.chooseSecond(f.req, f.first, f.waited)
+		if d.Verdict != steerer.SecondLater || d.RetryIn != 100 {
+			t.Errorf("%s in %d ms, want %s in 100 ms", d.Verdict, d.RetryIn, steerer.SecondLater)
+		}
+		f.req.TimeLeft = f.first.EstimatedLatency * 6 / 5
+		f.assertVerdict(t, "little time left", steerer.SecondAllowed)
+	})
+}
--- a/pkg/rationer/retries.go
+++ b/pkg/rationer/retries.go
@@ -75,6 +75,20 @@
 	return d
 }
 
+// secondReserve is the fraction of a full bucket that second attempts leave for retries after
+// failures.
+const secondReserve = 0.5
+
+// AllowSecond takes one from the budget for a second attempt beside one that is only slow,
+// if enough is left for retries after failures.
+func (r *RetryBudget) AllowSecond(service string) RetryDecision {
+	left := math.Min(r.tokens[service], r.capacity())
+	if left-1 < secondReserve*r.capacity() {
+		return RetryDecision{Left: left, Hosts: r.hosts}
+	}
+	return r.Allow(service)
+}
+
 // capacity returns the number of tokens that a bucket holds: one at least, since a retry
 // takes a whole one.
 func (r *RetryBudget) capacity() float64 {
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -40,8 +40,8 @@
 	return out
 }
 
-// backendRequest returns the request for the chosen server.
-func (s *Steerer) backendRequest(c *call) *courier.Request {
+// backendRequest returns the request for a server.
+func (s *Steerer) backendRequest(c *call, server balancer.Server) *courier.Request {
 	h := endToEndHeaders(c.r.Header)
 	h.Del("Expect")
 	headers := s.cfg.Headers
@@ -50,7 +50,7 @@
 	if c.workspace != nil {
 		h.Set(headers.Workspace, c.workspace.Name)
 	}
-	h.Set(headers.ExpectedServer, c.choice.Server.ID)
+	h.Set(headers.ExpectedServer, server.ID)
 	h.Set(headers.Deadline, strconv.FormatInt(int64(s.timeLeft(c)), 10))
 	var stream io.Reader
 	if c.stream != nil {
@@ -138,14 +138,14 @@
 }
 
 // logFailedAttempt logs and counts an attempt without a usable response.
-func (s *Steerer) logFailedAttempt(c *call, result balancer.Result, resp *courier.Response, err error, retry retryCheck) {
+func (s *Steerer) logFailedAttempt(c *call, a *attempt, retry retryCheck) {
 	status := 0
-	if resp != nil {
-		status = resp.Status
+	if a.resp != nil {
+		status = a.resp.Status
 	}
-	s.cfg.Meter.Add("attempts_"+result.String(), 1)
-	event := s.cfg.Log.Warn().Str("request", c.id).Str("server", c.choice.Server.ID).Str("result", result.String()).
-		Int("status", status).Err(err).Int("load", c.choice.InFlight).Int64("left_ms", int64(s.timeLeft(c))).
+	s.cfg.Meter.Add("attempts_"+a.result.String(), 1)
+	event := s.cfg.Log.Warn().Str("request", c.id).Str("server", a.choice.Server.ID).Str("result", a.result.String()).
+		Int("status", status).Err(a.err).Int("load", a.choice.InFlight).Int64("left_ms", int64(s.timeLeft(c))).
 		Str("service", c.service).Str("retry", string(retry.verdict))
 	if retry.budget != nil {
 		event = event.Float64("budget_left", math.Round(retry.budget.Left*10)/10).Int("budget_hosts", retry.budget.Hosts)
--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -54,11 +54,19 @@
 	dial func(n int32, open func() (net.Conn, error)) (net.Conn, error)
 	// paused is locked while the steerer accepts no connections of callers.
 	paused sync.Mutex
+	// secondDelay is the delay of second attempts, which chooseSecond allows.
+	secondDelay  clock.Millis
+	chooseSecond func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice
+	stop         atomic.Pointer[Stop]
+	meter        *meter.Meter
+	mu           sync.Mutex
+	// finished holds the results of all attempts.
+	finished []balancer.Attempt
 }
 
 func withSockets(t *testing.T, test func(f *socketFixture)) {
 	t.Helper()
-	f := &socketFixture{arrived: make(chan string, 100)}
+	f := &socketFixture{arrived: make(chan string, 100), secondDelay: 10 * clock.Second, meter: meter.New()}
 	f.handle = func(_ int32, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
 	f.dial = func(_ int32, open func() (net.Conn, error)) (net.Conn, error) { return open() }
 	var arrivals, dials atomic.Int32
@@ -71,6 +79,11 @@
 		}
 	}))
 	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	f.chooseSecond = func(req balancer.Request, _ balancer.Choice, _ clock.Millis) SecondChoice {
+		id := fmt.Sprintf("s%d", len(req.AttemptedServers))
+		return SecondChoice{Verdict: SecondAllowed, Choice: balancer.Choice{Server: balancer.Server{ID: id, Address: address}}}
+	}
 	catalog := testCatalog(t)
 	courier := courier.New(courier.Config{
 		IDHeader: headers.RequestID, Clock: clock.New(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -82,11 +95,19 @@
 		Admit: func(string) (bool, clock.Millis) { return true, 0 },
 		ChooseServer: func(req balancer.Request) (balancer.Choice, bool) {
 			id := fmt.Sprintf("s%d", len(req.AttemptedServers))
-			return balancer.Choice{Server: balancer.Server{ID: id, Address: strings.TrimPrefix(server.URL, "http://")}}, false
+			return balancer.Choice{Server: balancer.Server{ID: id, Address: address}}, false
 		},
-		RecordAttempt: func(balancer.Attempt) bool { return false }, CountRequest: func(string) {},
-		AllowRetry: func(string) rationer.RetryDecision { return rationer.RetryDecision{Allowed: true} }, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
-		CallerLeft: screener.HasDisconnected, Stop: func() *Stop { return nil }, Clock: clock.New(), Log: zerolog.Nop(), Meter: meter.New(),
+		RecordAttempt: func(a balancer.Attempt) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.finished = append(f.finished, a)
+			return false
+		}, CountRequest: func(string) {},
+		AllowRetry: func(string) rationer.RetryDecision { return rationer.RetryDecision{Allowed: true} }, SecondDelay: func(string, balancer.Choice) clock.Millis { return f.secondDelay },
+		ChooseSecond: func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice {
+			return f.chooseSecond(req, first, waited)
+		}, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
+		CallerLeft: screener.HasDisconnected, Stop: f.stop.Load, Clock: clock.New(), Log: zerolog.Nop(), Meter: f.meter,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/steerer/notice.go
+++ b/pkg/steerer/notice.go
@@ -11,7 +11,6 @@
 
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
-	"catkindyke/pkg/courier"
 )
 
 var (
@@ -32,25 +31,26 @@
 
 // notice returns what a server says about itself in a response, or nil if the response
 // is not the server's. Unreadable values say nothing.
-func (s *Steerer) notice(c *call, result balancer.Result, resp *courier.Response) *balancer.Notice {
+func (s *Steerer) notice(c *call, a *attempt) *balancer.Notice {
+	resp, result := a.resp, a.result
 	if resp == nil || result == balancer.Unreachable {
 		return nil
 	}
 	n := &balancer.Notice{}
 	var err error
 	if n.Limit, err = parseRateLimit(resp.Header.Values(s.cfg.Headers.RateLimit)); err != nil {
-		s.logUnreadableNotice(c, err)
+		s.logUnreadableNotice(c, a, err)
 	}
 	if !n.Limit.Limited && result != balancer.Answered {
 		// A failing or overloaded server may leave out what it says otherwise.
 		n.Limit.Known = false
 	}
 	if n.Draining, err = parseDraining(resp.Header.Values(s.cfg.Headers.Draining)); err != nil {
-		s.logUnreadableNotice(c, err)
+		s.logUnreadableNotice(c, a, err)
 	}
 	if resp.Status == http.StatusServiceUnavailable {
 		if n.Backoff, err = parseBackoff(resp.Header.Values("Retry-After")); err != nil {
-			s.logUnreadableNotice(c, err)
+			s.logUnreadableNotice(c, a, err)
 		}
 	}
 	return n
@@ -109,14 +109,14 @@
 }
 
 // logUnreadableNotice logs a value that was ignored.
-func (s *Steerer) logUnreadableNotice(c *call, err error) {
+func (s *Steerer) logUnreadableNotice(c *call, a *attempt, err error) {
 	s.cfg.Meter.Add("notices_unreadable", 1)
-	s.cfg.Log.Warn().Str("request", c.id).Str("server", c.choice.Server.ID).Err(err).Msg("server_notice_unreadable")
+	s.cfg.Log.Warn().Str("request", c.id).Str("server", a.choice.Server.ID).Err(err).Msg("server_notice_unreadable")
 }
 
 // logNotice logs a change of what a server says about itself.
-func (s *Steerer) logNotice(c *call, n *balancer.Notice) {
-	event := s.cfg.Log.Info().Str("request", c.id).Str("server", c.choice.Server.ID).Bool("draining", n.Draining).Bool("limited", n.Limit.Limited)
+func (s *Steerer) logNotice(c *call, a *attempt, n *balancer.Notice) {
+	event := s.cfg.Log.Info().Str("request", c.id).Str("server", a.choice.Server.ID).Bool("draining", n.Draining).Bool("limited", n.Limit.Limited)
 	if n.Backoff > 0 {
 		event = event.Int64("backoff_ms", int64(n.Backoff))
 	}
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -90,6 +90,13 @@
 	CountRequest func(service string)
 	// AllowRetry takes one retry from a service's budget.
 	AllowRetry func(service string) rationer.RetryDecision
+	// SecondDelay returns the time after which a request that waits for its first attempt
+	// may get a second one.
+	SecondDelay func(class string, first balancer.Choice) clock.Millis
+	// ChooseSecond picks the server for a second attempt beside the first one, takes it
+	// from the budget and counts it as in flight, or says why there is none. waited is the
+	// time since the first one began.
+	ChooseSecond func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice
 	// Send sends a request to a server.
 	Send func(ctx context.Context, target courier.Target, req *courier.Request) (*courier.Response, error)
 	// SplitPoint returns a number in [0, 1) that selects a service of a weighted split.
@@ -146,7 +153,7 @@
 	// knownWarm is set if the chosen server is known to be warm for the object.
 	knownWarm bool
 	// inFlight is set while the balancer counts the request as in flight at the chosen
-	// server.
+	// server, and no attempt has begun.
 	inFlight bool
 }
 
@@ -199,8 +206,12 @@
 		return
 	}
 	if c.inFlight {
-		s.recordAttempt(c, balancer.Attempt{Result: balancer.Abandoned})
+		s.recordAttempt(c, &attempt{choice: c.choice, knownWarm: c.knownWarm}, balancer.Attempt{Result: balancer.Abandoned})
 	}
+	s.logPanic(c, cause)
+}
+
+func (s *Steerer) logPanic(c *call, cause any) {
 	s.cfg.Meter.Add("panics", 1)
 	s.cfg.Log.Error().Str("request", c.id).Any("cause", cause).Bytes("stack", debug.Stack()).Msg("request_panicked")
 }
@@ -354,36 +365,31 @@
 			}
 			return nil, c.finalRefusal(ref)
 		}
-		attemptStart := s.cfg.Clock.Now()
-		resp, err := s.cfg.Send(ctx, courier.Target{ID: c.choice.Server.ID, Address: c.choice.Server.Address}, s.backendRequest(c))
-		result := s.classifyAttempt(ctx, resp, err)
-		s.recordAttempt(c, balancer.Attempt{Result: result, Duration: s.cfg.Clock.Now() - attemptStart, Notice: s.notice(c, result, resp)})
-		c.attemptedServers = append(c.attemptedServers, c.choice.Server.ID)
-		if !errors.Is(err, courier.ErrNotSent) {
-			c.sentAttempts++
-		} else {
-			c.unsentAttempts++
+		attempts := s.runAttempts(ctx, c)
+		for _, a := range attempts {
+			c.countAttempt(a)
+			if a.resp != nil && a.result == balancer.Failed {
+				lastFailure = a.resp
+			}
 		}
-		c.mayHaveRun = c.mayHaveRun || attemptMayHaveRun(result, err)
-		switch {
-		case result == balancer.Answered:
-			return resp, nil
-		case result == balancer.Abandoned:
-			return nil, c.abandon(err)
-		case result == balancer.TimedOut:
+		a := attempts[len(attempts)-1]
+		c.choice, c.knownWarm = a.choice, a.knownWarm
+		switch a.result {
+		case balancer.Answered:
+			return a.resp, nil
+		case balancer.Abandoned:
+			return nil, c.abandon(a.err)
+		case balancer.TimedOut:
 			return nil, &refusal{http.StatusGatewayTimeout, "timeout", 0}
 		}
-		if resp != nil && result == balancer.Failed {
-			lastFailure = resp
-		}
 		callerLeft := c.r.Context().Err() != nil
 		retry := retryCheck{verdict: retryUnwanted}
 		if !callerLeft {
-			retry = s.checkRetry(c, result, err)
+			retry = s.checkRetry(c, a.result, a.err)
 		}
-		s.logFailedAttempt(c, result, resp, err, retry)
+		s.logFailedAttempt(c, a, retry)
 		if callerLeft {
-			return nil, c.abandon(err)
+			return nil, c.abandon(a.err)
 		}
 		if retry.verdict != retryAllowed {
 			ref := &refusal{http.StatusServiceUnavailable, "shed", otherHostRetryAfter}
@@ -395,6 +401,17 @@
 	}
 }
 
+// countAttempt adds a finished attempt to what is known of the request.
+func (c *call) countAttempt(a *attempt) {
+	c.attemptedServers = append(c.attemptedServers, a.choice.Server.ID)
+	if !errors.Is(a.err, courier.ErrNotSent) {
+		c.sentAttempts++
+	} else {
+		c.unsentAttempts++
+	}
+	c.mayHaveRun = c.mayHaveRun || attemptMayHaveRun(a.result, a.err)
+}
+
 // abandon returns the response to a caller who has left, or whose body can't be read to its
 // end. A caller who has closed only his half of the connection can still read it.
 func (c *call) abandon(err error) *refusal {
@@ -423,12 +440,11 @@
 	return &refusal{http.StatusBadGateway, "no_answer", 0}
 }
 
-// recordAttempt reports to the balancer how the attempt at the chosen server ended.
-func (s *Steerer) recordAttempt(c *call, a balancer.Attempt) {
-	c.inFlight = false
-	a.Choice, a.Class, a.KnownWarm = c.choice, c.route.Name, c.knownWarm
-	if s.cfg.RecordAttempt(a) {
-		s.logNotice(c, a.Notice)
+// recordAttempt reports to the balancer how an attempt ended.
+func (s *Steerer) recordAttempt(c *call, a *attempt, record balancer.Attempt) {
+	record.Choice, record.Class, record.KnownWarm = a.choice, c.route.Name, a.knownWarm
+	if s.cfg.RecordAttempt(record) {
+		s.logNotice(c, a, record.Notice)
 	}
 }
 
@@ -468,12 +484,7 @@
 	if ref := s.recheckKey(c); ref != nil {
 		return ref
 	}
-	c.choice, c.knownWarm = s.cfg.ChooseServer(balancer.Request{
-		Service: c.service, Class: c.route.Name, Object: c.object(s.cfg.Headers.Object),
-		AllowedRegions: cataloger.AllowedRegions(c.route, c.workspace), AttemptedServers: c.attemptedServers,
-		TargetLatency: c.route.TargetLatency - (s.cfg.Clock.Now() - c.start), TimeLeft: timeLeft,
-		Priority: c.priority(), CallerTimeout: c.callerTimeout,
-	})
+	c.choice, c.knownWarm = s.cfg.ChooseServer(s.balancerRequest(c, timeLeft))
 	if c.choice.Refused && c.choice.Reason == balancer.ReasonBusy && limitedByStop {
 		return stopRefusal()
 	}
@@ -484,6 +495,19 @@
 	return nil
 }
 
+// balancerRequest returns the properties of the request that decide its placement.
+func (s *Steerer) balancerRequest(c *call, timeLeft clock.Millis) balancer.Request {
+	return balancer.Request{
+		Service: c.service, Class: c.route.Name, Object: c.object(s.cfg.Headers.Object), Repeatable: c.isRepeatable(),
+		AllowedRegions: cataloger.AllowedRegions(c.route, c.workspace), AttemptedServers: c.attemptedServers,
+		TargetLatency: c.route.TargetLatency - (s.cfg.Clock.Now() - c.start), TimeLeft: timeLeft,
+		Priority: c.priority(), CallerTimeout: c.callerTimeout,
+	}
+}
+
+// isRepeatable reports whether the request may be sent again while a server may run it.
+func (c *call) isRepeatable() bool { return c.route.IsIdempotent() && c.stream == nil }
+
 // routePriorityWeight scales a route's priority, so that the priority of the
 // workspace counts first.
 const routePriorityWeight = 0.1
@@ -508,6 +532,8 @@
 // classifyAttempt classifies how an attempt ended.
 func (s *Steerer) classifyAttempt(ctx context.Context, resp *courier.Response, err error) balancer.Result {
 	switch {
+	case err != nil && errors.Is(context.Cause(ctx), errSuperseded):
+		return balancer.Superseded
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return balancer.TimedOut
 	case errors.Is(err, courier.ErrIncompleteBody) && errors.Is(err, os.ErrDeadlineExceeded):
@@ -538,6 +564,8 @@
 	retryUnsafe     retryVerdict = "not_repeatable"
 	retryExhausted  retryVerdict = "attempts_used"
 	retryOverBudget retryVerdict = "over_budget"
+	// retryOtherRuns means that another attempt ran at the same time.
+	retryOtherRuns retryVerdict = "other_attempt"
 )
 
 // retryCheck is the result of checkRetry. The budget is nil if it was not asked.
--- a/pkg/steerer/steerer_test.go
+++ b/pkg/steerer/steerer_test.go
@@ -105,6 +105,10 @@
 			}
 			return resp, err
 		},
+		SecondDelay: func(string, balancer.Choice) clock.Millis { return clock.Second },
+		ChooseSecond: func(balancer.Request, balancer.Choice, clock.Millis) SecondChoice {
+			return SecondChoice{Verdict: SecondNoServer}
+		},
 		SplitPoint: func(string) float64 { return 0 }, CallerLeft: func(ctx context.Context) bool { return ctx.Err() != nil }, Stop: func() *Stop { return f.stop },
 		Clock: f.clock.Clock(), Log: zerolog.Nop(), Meter: meter.New(),
 	})
