Clients' progress is measured with a clock without system calls

What callers saw: nothing. The budgets read the clock up to ten times a request, and the clock of the start of the machine is a system call each time. It also counts suspensions, after which all clients seemed to have made no progress.

Change: the budgets use the runtime's monotonic clock.

--- a/cmd/catkindyke/commander/clients.go
+++ b/cmd/catkindyke/commander/clients.go
@@ -88,17 +88,19 @@
 type clientLimits struct {
 	callers, peers *reserver.Budget
 	// hosts holds the IP addresses of all hosts that had an entry in the store.
-	hosts   sync.Map
+	hosts sync.Map
+	// clk is read several times for each request. Unlike the clock of the start of the
+	// machine, it takes no system call, and clients do not seem slow after a suspension.
 	clk     clock.Clock
 	metrics *meter.Meter
 	log     zerolog.Logger
 }
 
-func newClientLimits(s platform.Settings, clk clock.Clock, metrics *meter.Meter, log zerolog.Logger) *clientLimits {
+func newClientLimits(s platform.Settings, metrics *meter.Meter, log zerolog.Logger) *clientLimits {
 	callers, peers := callerBudget(s), peerBudget(s)
 	log.Info().Int64("caller_bytes", callers.Bytes).Int("caller_connections", min(callers.Conns, callers.Descriptors)).
 		Int64("host_bytes", peers.Bytes).Int("host_connections", min(peers.Conns, peers.Descriptors)).Msg("client_limits")
-	return &clientLimits{callers: reserver.New(callers), peers: reserver.New(peers), clk: clk, metrics: metrics, log: log}
+	return &clientLimits{callers: reserver.New(callers), peers: reserver.New(peers), clk: clock.New(), metrics: metrics, log: log}
 }
 
 // wrapCallers bounds the connections of a listener for HTTP.
--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -108,7 +108,7 @@
 	clk := clock.NewBootTime()
 	metrics := meter.New()
 	setClientDefaults(&settings)
-	clients := newClientLimits(settings, clk, metrics, log)
+	clients := newClientLimits(settings, metrics, log)
 	h := hoster.New(hostCtx, hoster.Config{
 		Name: settings.Host, Region: settings.Region, AvailabilityZone: settings.AvailabilityZone,
 		CallerAddress: settings.CallerAddress, PeerAddress: settings.PeerAddress, SeedPeers: settings.SeedPeers,
