relayer: the difference of two lists says what it can't know

What callers would see: requests to a server that left, at a host that keeps its entry until its next list.

Cause: a list is passed on as the changes since the host's earlier list, and the batch said that it is complete. An object that was created and deleted in between is not among them; a host that knew of it skipped its deletion.

Change: such a batch carries the revisions of both lists. A host whose revision lies strictly between takes no batch that spans them, is sent none, and polls the store like one with a gap.

--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -144,7 +144,7 @@
 func encodeBatches(list []relayer.Batch) []*schema.Batch {
 	out := make([]*schema.Batch, 0, len(list))
 	for _, b := range list {
-		batch := &schema.Batch{Kind: b.Kind, Epoch: b.Epoch, After: b.After, UpTo: b.UpTo}
+		batch := &schema.Batch{Kind: b.Kind, Epoch: b.Epoch, After: b.After, UpTo: b.UpTo, GapAfter: b.Gap.After, GapUpTo: b.Gap.UpTo}
 		for _, c := range b.Changes {
 			batch.Changes = append(batch.Changes, &schema.Change{
 				Name: c.Name, Revision: c.Revision, Deleted: c.Deleted, Content: c.Content,
@@ -156,7 +156,9 @@
 }
 
 func decodeBatch(b *schema.Batch) relayer.Batch {
-	out := relayer.Batch{Kind: b.GetKind(), Epoch: b.GetEpoch(), After: b.GetAfter(), UpTo: b.GetUpTo()}
+	out := relayer.Batch{
+		Kind: b.GetKind(), Epoch: b.GetEpoch(), After: b.GetAfter(), UpTo: b.GetUpTo(), Gap: relayer.Gap{After: b.GetGapAfter(), UpTo: b.GetGapUpTo()},
+	}
 	for _, c := range b.GetChanges() {
 		out.Changes = append(out.Changes, relayer.Change{
 			Name: c.GetName(), Revision: c.GetRevision(), Deleted: c.GetDeleted(), Content: c.GetContent(),
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -53,6 +53,29 @@
 	Epoch       uint64
 	After, UpTo uint64
 	Changes     []Change
+	// Gap is that of the lists from which the batch was made.
+	Gap Gap
+}
+
+// Gap holds the revisions between two lists of a kind. Objects that were created after the first
+// list and deleted up to the second one are in neither. A host that knows of them, because its
+// revision lies in between, must not take the difference of the lists for all changes.
+type Gap struct{ After, UpTo uint64 }
+
+func (g Gap) contains(revision uint64) bool { return g.After < revision && revision < g.UpTo }
+
+// union returns the smallest gap that holds both.
+func (g Gap) union(other Gap) Gap {
+	if g == (Gap{}) || other == (Gap{}) {
+		return Gap{max(g.After, other.After), max(g.UpTo, other.UpTo)}
+	}
+	return Gap{min(g.After, other.After), max(g.UpTo, other.UpTo)}
+}
+
+// IsCompleteFor reports whether the batch has all changes that a host lacks which has those up to
+// a revision.
+func (b Batch) IsCompleteFor(revision uint64) bool {
+	return b.After <= revision && !b.Gap.contains(revision)
 }
 
 // Revision is how current a host's view of a kind is.
@@ -102,6 +125,9 @@
 	recentAfter   uint64
 	// fingerprint is that of the list as of recentAfter, 0 if there is none.
 	fingerprint uint64
+	// gap holds the revisions after which recentChanges may lack deletions, since gapAt.
+	gap   Gap
+	gapAt clock.Millis
 	// remoteLastChange is the latest LastChange that another host reported, and
 	// laggingSince the time since which this host has been behind it.
 	remoteLastChange position
@@ -143,6 +169,7 @@
 	}
 	// A list does not show which objects were deleted before it.
 	clear(k.recentChanges)
+	k.gap = Gap{}
 	k.recentAfter, k.upTo, k.lastChange, k.fingerprint = l.UpTo, l.UpTo, max(k.lastChange, l.LastChange), l.Fingerprint
 }
 
@@ -172,6 +199,9 @@
 		k.recentChanges[c.Name] = recent
 		k.lastChange = max(k.lastChange, recent.maxRevision)
 	}
+	if b.Gap != (Gap{}) {
+		k.gap, k.gapAt = k.gap.union(b.Gap), now
+	}
 	k.upTo = b.UpTo
 	k.expireChanges(now)
 }
@@ -184,6 +214,12 @@
 			delete(k.recentChanges, name)
 		}
 	}
+	if k.gap != (Gap{}) && now-k.gapAt > changeTTL {
+		k.recentAfter, k.fingerprint = max(k.recentAfter, min(k.gap.UpTo, k.upTo)), 0
+	}
+	if k.recentAfter >= k.gap.UpTo {
+		k.gap = Gap{}
+	}
 }
 
 // ObserveRevisions compares this host's view with the revisions of another host.
@@ -272,7 +308,7 @@
 	bytesLeft := maxBatchBytes
 	for _, rev := range revisions {
 		k := r.kinds[rev.Kind]
-		if k == nil || k.epoch != rev.Epoch || k.lastChange <= rev.UpTo || !k.hasAllAfter(rev) {
+		if k == nil || k.epoch != rev.Epoch || k.lastChange <= rev.UpTo || !k.hasAllAfter(rev) || k.gap.contains(rev.UpTo) {
 			continue
 		}
 		b := k.batchAfter(rev, &bytesLeft)
@@ -300,7 +336,7 @@
 		}
 	}
 	slices.SortFunc(changes, func(a, b recentChange) int { return cmp.Compare(a.minRevision, b.minRevision) })
-	out := Batch{Kind: rev.Kind, Epoch: k.epoch, After: rev.UpTo, UpTo: k.upTo}
+	out := Batch{Kind: rev.Kind, Epoch: k.epoch, After: rev.UpTo, UpTo: k.upTo, Gap: k.gap}
 	for _, c := range changes {
 		size := len(c.Content) + changeOverheadBytes
 		if size > *bytesLeft {
