Choose servers by the load and the pace that they state

Cause: nobody read the load that servers state in their responses.

A server counts the request that it is answering as running.

Change: pkg/observer keeps the newest statement of each server and learns for how long paces hold; pkg/steerer parses the header, also of health checks; pkg/balancer uses the number of requests while it is newer than the reports of others, and scales service times by the pace relative to the mean pace at which the server's slowdown was measured. Unexpected statements go with the reports within a region (HostReport field 28). Where servers state loads, numbers in reports that are older than a service time move towards the mean of the service, and then only the 8 highest-ranked servers of an object are compared when its warm ones are late. A pace alone no longer gives idle servers the bias for warming up. Silent servers change nothing.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"math"
 
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/observer"
 )
 
 // Reasons for refusing a request.
@@ -100,6 +101,11 @@
 	// EstimatedLatency the time in which its response was expected.
 	InFlight         int
 	EstimatedLatency clock.Millis
+	// Stated is the load that the server last stated, StatedAge the time since, and Pace the
+	// pace that was expected of it.
+	Stated    observer.Load
+	StatedAge clock.Millis
+	Pace      float64
 	// newObject means that the object had no known placement, and that the server is the one
 	// that it should go to.
 	newObject bool
@@ -155,6 +161,13 @@
 	// announcements are the placements to announce, in order of time.
 	announcements []announcement
 	purgedAt      clock.Millis
+	observer      *observer.Observer
+	// loads are the statements of servers to share with others, in order of time.
+	loads []loadStatement
+	// loadLists counts the calls of LoadsSince.
+	loadLists uint64
+	// reportAge is the mean age of the reports of other hosts.
+	reportAge clock.Millis
 	// hashCounter is the input of the next pseudo-random hash, for the ranking of requests
 	// without an object and for the jitter of RetryAfter.
 	hashCounter uint64
@@ -175,7 +188,7 @@
 	return &Balancer{
 		cfg: cfg, servers: make(map[string]*server), pools: make(map[string]*pool),
 		classes: make(map[string]*class), reports: make(map[string]LoadReport), rtts: make(map[string]float64),
-		demands: make(map[string]*rate), notices: make(map[string]*notices), liveHosts: LiveHosts{ByRegion: map[string]int{cfg.Region: 1}},
+		demands: make(map[string]*rate), notices: make(map[string]*notices), observer: observer.New(), liveHosts: LiveHosts{ByRegion: map[string]int{cfg.Region: 1}},
 	}
 }
 
@@ -188,6 +201,8 @@
 		s := b.servers[info.ID]
 		if s == nil || s.Address != info.Address || s.Service != info.Service {
 			s = newServer()
+		} else if s.StartUnixMs != info.StartUnixMs {
+			s.stated = observer.Statement{}
 		}
 		s.Server, s.remoteInFlight, s.notices = info, 0, b.noticesOf(info)
 		servers[info.ID] = s
@@ -270,6 +285,7 @@
 		return Choice{Refused: true, Reason: ReasonNoServer, RetryAfter: clock.Second}
 	}
 	c := b.classFor(req)
+	b.updateReportWeight(p, c)
 	seed := b.rankingSeed(req)
 	ranked := p.rankServers(seed, req.AllowedRegions)
 	best, home, reason := b.bestServer(p, ranked, req, seed, c, now)
@@ -281,6 +297,8 @@
 		return Choice{Refused: true, Reason: reason, RetryAfter: clampRetryAfter(c.warmServiceTime)}
 	}
 	choice := Choice{Server: best.server.Server, Warm: best.warm, InFlight: best.inFlight, EstimatedLatency: clock.Millis(best.estimatedLatency), newObject: best.server == home}
+	choice.Stated, choice.Pace = best.server.stated.Load(), b.observer.Pace(&best.server.stated, now)
+	choice.StatedAge, _ = best.server.stated.Age(now)
 	if excess := b.excessDelay(req, c, best, now); excess > 0 {
 		choice.Server, choice.Refused, choice.Reason = Server{}, true, ReasonBusy
 		choice.RetryAfter = clampRetryAfter((excess + c.warmServiceTime) * b.retryJitterFactor())
@@ -307,6 +325,7 @@
 			delete(b.reports, host)
 		}
 	}
+	b.updateReportAge(now)
 	b.holdHostCount(now)
 	elapsed := now - b.lastTick
 	b.lastTick = now
@@ -321,6 +340,7 @@
 	}
 	b.purgePlacements(now)
 	b.purgeNotices(now)
+	b.purgeLoads(now)
 }
 
 // CountRequest adds a request to the demand for a service.
--- a/pkg/balancer/candidate.go
+++ b/pkg/balancer/candidate.go
@@ -23,19 +23,24 @@
 // bestServer returns the server for a request, or nil and the reason for a refusal. home
 // is the server to which the object should go if it has no known placement.
 func (b *Balancer) bestServer(p *pool, ranked []*server, req Request, seed uint64, c *class, now clock.Millis) (best *candidate, home *server, reason string) {
+	idleBias := idleFactor
 	preferred := ranked[:min(preferredServers, len(ranked))]
 	if req.Object != "" {
 		preferred, home = p.preferredFor(ranked, seed, now)
 		if s := p.underused(ranked, preferred, now); home == nil && s != nil {
-			best, _ = b.bestCandidate([]*server{s}, nil, req, seed, c, now)
+			best, _ = b.bestCandidate([]*server{s}, nil, req, seed, c, idleBias, now)
 			if best != nil && best.estimatedLatency <= timeLeftFactor*float64(req.TimeLeft) {
 				return best, nil, ""
 			}
 		}
 	}
-	best, reason = b.bestCandidate(preferred, home, req, seed, c, now)
+	best, reason = b.bestCandidate(preferred, home, req, seed, c, idleBias, now)
+	if best != nil && best.warm && best.estimatedLatency/b.observer.Pace(&best.server.stated, now) <= float64(req.TargetLatency) {
+		// The server will be as fast as usual before another one has warmed up.
+		idleBias = 1
+	}
 	if best == nil || (best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)) {
-		best, reason = b.bestCandidate(ranked, home, req, seed, c, now)
+		best, reason = b.bestCandidate(p.comparedServers(ranked), home, req, seed, c, idleBias, now)
 	}
 	return best, home, reason
 }
@@ -44,9 +49,9 @@
 // reason for a refusal.
 //
 // Two kinds of servers count as faster than they are: home, so that few servers warm up
-// for an object, and idle ones, so that an object whose server is overloaded gets a second
-// one. Its request is late in either case; later ones find two warm servers.
-func (b *Balancer) bestCandidate(ranked []*server, home *server, req Request, seed uint64, c *class, now clock.Millis) (*candidate, string) {
+// for an object, and idle ones by idleBias, so that an object whose server is overloaded gets a
+// second one. Its request is late in either case; later ones find two warm servers.
+func (b *Balancer) bestCandidate(ranked []*server, home *server, req Request, seed uint64, c *class, idleBias float64, now clock.Millis) (*candidate, string) {
 	var best *candidate
 	var bestCost float64
 	reason := ReasonNoServer
@@ -74,14 +79,14 @@
 		case s == home:
 			serviceTime = c.newObjectServiceTime()
 		}
-		cand := b.estimateLatency(s, serviceTime, c)
+		cand := b.estimateLatency(s, serviceTime, c, now)
 		cand.warm = warm
 		cost := cand.estimatedLatency
 		if s == home {
 			cost *= affinityFactor
 		}
 		if !warm && cand.isIdle() && cand.estimatedLatency < maxIdleTimeFraction*float64(req.TimeLeft) {
-			cost *= idleFactor
+			cost *= idleBias
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = &cand, cost
@@ -92,20 +97,20 @@
 
 // estimateLatency predicts the time until a server's response: the round trip, the wait
 // for a slot, the service time and the penalty for load that is not yet reported.
-func (b *Balancer) estimateLatency(s *server, serviceTime float64, c *class) candidate {
-	inFlight := s.localInFlight + s.remoteInFlight
-	serviceTime *= s.slowdown
-	queueDelay := c.queueDelay(s, inFlight)
+func (b *Balancer) estimateLatency(s *server, serviceTime float64, c *class, now clock.Millis) candidate {
+	inFlight, slowdown := b.inFlight(s, now), b.currentSlowdown(s, now)
+	serviceTime *= slowdown
+	queueDelay := c.queueDelay(s, inFlight, slowdown)
 	penalty := staleLoadPenalty * serviceTime * math.Min(1, float64(inFlight)/float64(s.Slots))
 	return candidate{server: s, inFlight: inFlight, queueDelay: queueDelay, serviceTime: serviceTime, estimatedLatency: b.rtt(s.Region) + queueDelay + serviceTime + penalty}
 }
 
 // queueDelay estimates the time in ms until a server has a free slot for one more
 // request.
-func (c *class) queueDelay(s *server, inFlight int) float64 {
+func (c *class) queueDelay(s *server, inFlight int, slowdown float64) float64 {
 	queued := inFlight + 1 - s.Slots
 	if queued <= 0 {
 		return 0
 	}
-	return float64(queued) / float64(s.Slots) * c.warmServiceTime * s.slowdown
+	return float64(queued) / float64(s.Slots) * c.warmServiceTime * slowdown
 }
--- /dev/null
+++ b/pkg/balancer/load_test.go
@@ -0,0 +1,127 @@
+package balancer
+
+import (
+	"testing"
+
+	"catkindyke/pkg/clock"
+	"catkindyke/pkg/observer"
+)
+
+// withLoads runs a test with a balancer for one server with 4 slots, whose other hosts report
+// 4 requests there.
+func withLoads(t *testing.T, test func(t *testing.T, b *Balancer, s *server)) {
+	t.Helper()
+	b := New(Config{Region: "n"})
+	b.SetServers([]Server{{ID: "a", Service: "desk", Region: "n", Slots: 4, StartUnixMs: 7}})
+	b.SetLoadReport("other", LoadReport{Region: "n", InFlight: map[string]int{"a": 4}}, 0)
+	b.Tick(1000)
+	test(t, b, b.servers["a"])
+}
+
+func assertInFlight(t *testing.T, b *Balancer, s *server, now clock.Millis, want int) {
+	t.Helper()
+	if got := b.inFlight(s, now); got != want {
+		t.Errorf("%d requests at the server, want %d", got, want)
+	}
+}
+
+// The number of requests at a server follows what it says, for as long as that is newer than
+// the reports of other hosts and of the same start.
+func TestStatedLoad(t *testing.T) {
+	for name, c := range map[string]struct {
+		load observer.Load
+		then func(b *Balancer)
+		now  clock.Millis
+		want int
+	}{
+		"silent":                   {observer.Load{}, nil, 1010, 4},
+		"fewer than reported":      {observer.Load{Running: 1, Slots: 4}, nil, 1010, 1},
+		"more than reported":       {observer.Load{Running: 4, Waiting: 3, Slots: 4}, nil, 1010, 7},
+		"overstated":               {observer.Load{Running: 4, Waiting: 1e6, Slots: 4}, nil, 1010, 12},
+		"older than a statement's": {observer.Load{Running: 1, Slots: 4}, nil, 1001 + observer.MaxLoadAge, 4},
+		"older than a report": {observer.Load{Running: 1, Slots: 4}, func(b *Balancer) {
+			b.SetLoadReport("other", LoadReport{InFlight: map[string]int{"a": 4}}, 1090)
+			b.Tick(1100)
+		}, 1100, 4},
+		"another start": {observer.Load{Running: 1, Slots: 4}, func(b *Balancer) {
+			b.SetServers([]Server{{ID: "a", Service: "desk", Region: "n", Slots: 4, StartUnixMs: 8}})
+		}, 1010, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLoads(t, func(t *testing.T, b *Balancer, s *server) {
+				b.RecordLoad("a", c.load, 1000)
+				if c.then != nil {
+					c.then(b)
+				}
+				assertInFlight(t, b, s, c.now, c.want)
+			})
+		})
+	}
+}
+
+// Hosts of a region tell each other the newest unexpected load of a server, and when it is as
+// expected again. A statement of another start says nothing.
+func TestSharedLoads(t *testing.T) {
+	withLoads(t, func(t *testing.T, b *Balancer, _ *server) {
+		counts := []int{}
+		for i, l := range []observer.Load{
+			{Running: 4, Slots: 4, Pace: 1}, {Running: 4, Slots: 4, Pace: 2}, {Running: 4, Slots: 4, Pace: 1}, {Running: 4, Slots: 4, Pace: 1},
+		} {
+			now := 1000 + clock.Millis(i)
+			b.RecordLoad("a", l, now)
+			counts = append(counts, len(b.LoadsSince(now, now)))
+		}
+		if want := [4]int{0, 1, 1, 0}; [4]int(counts) != want {
+			t.Errorf("%v loads were shared, want %v", counts, want)
+		}
+		b.RecordLoad("a", observer.Load{Running: 1, Slots: 4, Pace: 3}, 1090)
+		b.RecordLoad("a", observer.Load{Running: 1, Slots: 4, Pace: 3}, 1100)
+		shared := b.LoadsSince(0, 1150)
+		if len(shared) != 1 || shared[0].Age != 50 || shared[0].Pace != 3 {
+			t.Fatalf("shared %+v", shared)
+		}
+		withLoads(t, func(t *testing.T, other *Balancer, s *server) {
+			shared[0].StartCheck++
+			other.ApplyLoads(shared, 1150)
+			assertInFlight(t, other, s, 1150, 4)
+			shared[0].StartCheck--
+			other.ApplyLoads(shared, 1150)
+			assertInFlight(t, other, s, 1150, 1)
+		})
+	})
+}
+
+// pacesCase is a load on servers that share machines: each half second, another seventh of them
+// is 2.5 times slower. The target is 0.85 of the ideal.
+func pacesCase(size replaySize) replayCase {
+	return replayCase{"paces", size, func(string, clock.Millis) float64 { return 1.3 * size.baseRate }, func(r *replay) {
+		for at := clock.Millis(burstStart); at < replayEnd; at += 500 {
+			r.changeServers(at, func(_ int, _ Server, s *replayServer) {
+				s.slowdown = 1
+				if r.rng.IntN(7) == 0 {
+					s.slowdown = 2.5
+				}
+			})
+		}
+	}, 0.85}
+}
+
+func TestReplayPaces(t *testing.T) { pacesCase(small).run(t) }
+
+// A tenth of the servers lies: some say that they are idle and fast, others that they are full
+// and slow. The target is 0.85 of the ideal.
+func TestReplayLyingServers(t *testing.T) {
+	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
+		load := func(string, clock.Millis) float64 { return 1.3 * size.baseRate }
+		t.Run(fleet, replayCase{fleet, size, load, func(r *replay) {
+			r.changeServers(burstStart, func(i int, info Server, s *replayServer) {
+				switch i % 20 {
+				case 0:
+					s.lie = observer.Load{Slots: info.Slots, Pace: 0.3}
+				case 10:
+					s.lie = observer.Load{Running: info.Slots, Waiting: 1000, Slots: info.Slots, Pace: 8}
+				}
+			})
+		}, 0.85}.run)
+	}
+}
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -130,18 +130,35 @@
 	// meanServiceTime is the mean time in ms for which a request occupies a slot.
 	meanServiceTime float64
 	standingQueue   standingQueue
+	// statesLoad is set once a server has stated its load. meanLoad is the number of other
+	// hosts' requests per slot, and reportWeight the weight of what they report of one server
+	// for the request that is being placed.
+	statesLoad             bool
+	meanLoad, reportWeight float64
 }
 
 func newPool(old *pool) *pool {
-	p := &pool{slotsByRegion: make(map[string]float64), slotLossAt: make(map[string]clock.Millis)}
+	p := &pool{reportWeight: 1, slotsByRegion: make(map[string]float64), slotLossAt: make(map[string]clock.Millis)}
 	if old != nil {
+		p.statesLoad, p.meanLoad = old.statesLoad, old.meanLoad
 		p.shares, p.meanServiceTime, p.shifting, p.standingQueue = old.shares, old.meanServiceTime, old.shifting, old.standingQueue
 		p.baselineSlots, p.slotLossAt = old.baselineSlots, old.slotLossAt
 	}
 	return p
 }
 
+// remoteLoad returns the number of other hosts' requests per slot.
+func (p *pool) remoteLoad() float64 {
+	var n, slots float64
+	for _, s := range p.servers {
+		n += float64(s.remoteInFlight)
+		slots += float64(s.Slots)
+	}
+	return n / math.Max(1, slots)
+}
+
 func (p *pool) add(s *server) {
+	s.pool = p
 	p.servers = append(p.servers, s)
 	p.slotsByRegion[s.Region] += float64(s.Slots)
 }
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/observer"
 )
 
 // replay runs a load against balancers and a model of the backend servers in virtual
@@ -57,10 +58,20 @@
 	slowdown      float64
 	// shedding servers refuse all requests; removed servers have left the fleet.
 	shedding, removed bool
+	// lie is the load that the server states instead of its own, if it is set.
+	lie observer.Load
 	// notice is what the server says in its responses. One that backs off sheds.
 	notice Notice
 }
 
+// load returns what the server says of its load.
+func (s *replayServer) load(slots int) observer.Load {
+	if s.lie.IsStated() {
+		return s.lie
+	}
+	return observer.Load{Running: s.running, Waiting: len(s.queue), Slots: slots, Pace: s.slowdown}
+}
+
 // capacity is the number of requests per second that the server can answer.
 func (s *replayServer) capacity(slots int, warmServiceTime clock.Millis) float64 {
 	if s.shedding || s.notice.Draining || s.notice.Backoff > 0 {
@@ -218,6 +229,7 @@
 	for i, h := range r.hosts {
 		report := LoadReport{Region: h.region, InFlight: h.balancer.InFlight(), Demands: h.balancer.Demands(r.now)}
 		notices := h.balancer.NoticesSince(r.now-r.size.reportInterval, r.now)
+		loads := h.balancer.LoadsSince(r.now-r.size.reportInterval, r.now)
 		placements := h.balancer.PlacementsSince(r.now - r.size.reportInterval)
 		for j, other := range r.hosts {
 			if i == j {
@@ -227,6 +239,7 @@
 			other.balancer.ApplyNotices(notices, r.now)
 			if h.region == other.region {
 				other.balancer.ApplyPlacements(placements, r.now)
+				other.balancer.ApplyLoads(loads, r.now)
 			}
 		}
 	}
@@ -283,10 +296,13 @@
 	}
 	sent, rtt := r.now, r.rtt(call.host.region, c.Server.Region)
 	respond := func(result Result, then func()) {
-		notice := r.servers[c.Server.ID].notice
+		notice, load := r.servers[c.Server.ID].notice, r.servers[c.Server.ID].load(c.Server.Slots)
+		if result == Answered {
+			load.Running++ // the request itself
+		}
 		notice.Limit.Known = result == Answered || notice.Limit.Limited
 		r.schedule(rtt-rtt/2, func() {
-			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: knownWarm, Result: result, Duration: r.now - sent, Notice: &notice}, r.now)
+			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: knownWarm, Result: result, Duration: r.now - sent, Notice: &notice, Load: load}, r.now)
 			if r.onResponse != nil {
 				r.onResponse(call.host, c.Server.ID)
 			}
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/observer"
 )
 
 const (
@@ -52,6 +53,11 @@
 	cachedHash    uint64
 	score         float64
 	notices       *notices
+	pool          *pool
+	// stated is what the server last said of its load.
+	stated observer.Statement
+	// loadList is the last call of LoadsSince that returned the server's load.
+	loadList uint64
 }
 
 func newServer() *server {
@@ -73,7 +79,9 @@
 
 // recover moves the slowdown towards 1, so that a slow server is tried again.
 func (s *server) recover(elapsed clock.Millis) {
-	s.slowdown += (1 - s.slowdown) * math.Min(1, float64(elapsed)/float64(slowdownRecovery))
+	fraction := math.Min(1, float64(elapsed)/float64(slowdownRecovery))
+	s.slowdown += (1 - s.slowdown) * fraction
+	s.stated.RecoverPace(fraction)
 }
 
 // hasColdToken reports whether this host may send a request to a cold server now. Some
@@ -159,6 +167,8 @@
 	Duration clock.Millis
 	// Notice is what the server said about itself, nil if it is not known.
 	Notice *Notice
+	// Load is what the server said of its load.
+	Load observer.Load
 }
 
 // FinishAttempt records how an attempt ended. It reports whether the server's notice has
@@ -168,10 +178,15 @@
 	if s == nil {
 		return false
 	}
+	if a.Result == Answered || a.Result == Failed {
+		// The server still counted the request that it answered.
+		a.Load.Running = max(0, a.Load.Running-1)
+	}
 	s.localInFlight = max(0, s.localInFlight-1)
 	if a.Notice != nil {
 		noticeChanged = s.notices.record(*a.Notice, now)
 	}
+	b.recordLoad(s, a.Load, now)
 	switch a.Result {
 	case Answered:
 		s.failureRatio *= 1 - failureWeight
@@ -218,19 +233,21 @@
 	if c == nil || s.isCold(now) {
 		return
 	}
-	serviceTime := math.Max(1, float64(a.Duration)-b.rtt(s.Region)-c.queueDelay(s, a.Choice.InFlight))
+	slowdown := b.currentSlowdown(s, now)
+	serviceTime := math.Max(1, float64(a.Duration)-b.rtt(s.Region)-c.queueDelay(s, a.Choice.InFlight, slowdown))
 	slotFree := a.Choice.InFlight < s.Slots
 	if a.KnownWarm && slotFree {
 		// With requests queued, the wait can't be told from a long service time.
 		ratio := math.Min(serviceTime/c.warmServiceTime, maxSlowdown)
 		s.slowdown += slowdownWeight * (ratio - s.slowdown)
 		s.slowdown = math.Min(math.Max(s.slowdown, minSlowdown), maxSlowdown)
+		s.stated.ObservePace(a.Choice.Pace, slowdownWeight)
 	}
 	if slotFree && a.Choice.newObject {
-		c.observeNewObject(serviceTime / math.Max(1, s.slowdown))
+		c.observeNewObject(serviceTime / math.Max(1, b.currentSlowdown(s, now)))
 	}
 	if slotFree {
-		c.observe(serviceTime / math.Max(1, s.slowdown))
+		c.observe(serviceTime / math.Max(1, b.currentSlowdown(s, now)))
 	}
 	if p := b.pools[s.Service]; p != nil {
 		if p.meanServiceTime == 0 {
--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -7,6 +7,7 @@
 
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/observer"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/relayer"
 	"catkindyke/pkg/schema"
@@ -98,6 +99,46 @@
 	return out
 }
 
+func encodeLoads(list []balancer.ServerLoad) *schema.StatedLoads {
+	if len(list) == 0 {
+		return nil
+	}
+	out := &schema.StatedLoads{}
+	for _, l := range list {
+		out.ServerHashes = append(out.ServerHashes, xxhash.Sum64String(l.Server))
+		out.StartChecks = append(out.StartChecks, l.StartCheck)
+		out.Running = append(out.Running, uint32(l.Running))
+		out.Waiting = append(out.Waiting, uint32(l.Waiting))
+		out.Paces = append(out.Paces, uint32(math.Round(100*l.Pace)))
+		out.AgesMs = append(out.AgesMs, uint32(max(0, l.Age)))
+	}
+	return out
+}
+
+// maxReportedRequests bounds the numbers of requests in a report.
+const maxReportedRequests = 1 << 20
+
+// decodeLoads skips servers that are unknown here.
+func decodeLoads(loads *schema.StatedLoads, names namesByHash) []balancer.ServerLoad {
+	n := len(loads.GetServerHashes())
+	for _, field := range [][]uint32{loads.GetStartChecks(), loads.GetRunning(), loads.GetWaiting(), loads.GetPaces(), loads.GetAgesMs()} {
+		n = min(n, len(field))
+	}
+	var out []balancer.ServerLoad
+	for i := range n {
+		id, ok := names[loads.GetServerHashes()[i]]
+		running, waiting := loads.GetRunning()[i], loads.GetWaiting()[i]
+		if !ok || running > maxReportedRequests || waiting > maxReportedRequests {
+			continue
+		}
+		out = append(out, balancer.ServerLoad{
+			Server: id, StartCheck: loads.GetStartChecks()[i], Age: clock.Millis(loads.GetAgesMs()[i]),
+			Load: observer.Load{Running: int(running), Waiting: int(waiting), Pace: float64(loads.GetPaces()[i]) / 100},
+		})
+	}
+	return out
+}
+
 // demandUnit is the number of requests per second that a demand of 1 in a report
 // stands for.
 const demandUnit = 0.01
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -207,6 +207,14 @@
 	return true, m.ackedSequence >= m.placementsSequence
 }
 
+// isInRegion reports whether another host has reported that it is in this host's region.
+func (f *fleet) isInRegion(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	return m != nil && m.incarnation != 0 && m.region == f.cfg.Region
+}
+
 // relayRevisions returns the store revisions that a host knew, if this host relays
 // changes to it: hosts of other regions have their own watchers unless they have
 // lost the store. An outdated report is not used: in a large fleet the host has
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -293,11 +293,12 @@
 	h.balancer.Tick(now)
 	h.balancer.SetLiveHosts(h.fleet.liveHosts(now))
 	h.rationer.ExpireHosts(now)
-	unreachable := h.balancer.UnreachableServers(now)
+	unreachable, paceHold := h.balancer.UnreachableServers(now), int64(h.balancer.PaceHold())
 	h.mu.Unlock()
 	for _, s := range unreachable {
 		h.startProbe(s)
 	}
+	h.cfg.Meter.Set("pace_hold_ms", paceHold)
 	h.cfg.Meter.Set("hosts_live", int64(h.fleet.liveCount(now)))
 	h.cfg.Meter.Set("config_age_ms", int64(now)-h.configConfirmedAt.Load())
 	h.cfg.Meter.Set("servers", int64(len(h.registrar.Entries())))
--- a/pkg/hoster/probe.go
+++ b/pkg/hoster/probe.go
@@ -12,6 +12,8 @@
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
+	"catkindyke/pkg/observer"
+	"catkindyke/pkg/steerer"
 )
 
 const (
@@ -34,16 +36,16 @@
 	}
 	h.probing[s.ID] = true
 	go func() {
-		remainingColdTime, err := h.checkHealth(s, svc.HealthPath)
+		remainingColdTime, load, err := h.checkHealth(s, svc.HealthPath)
 		if err != nil {
 			h.cfg.Log.Debug().Str("server", s.ID).Err(err).Msg("health_check_failed")
 			clock.Sleep(h.ctx, probeRetryDelay/2+rand.N(probeRetryDelay))
 		}
-		h.apply(func() { h.finishProbe(s, remainingColdTime, err == nil) })
+		h.apply(func() { h.finishProbe(s, remainingColdTime, load, err == nil) })
 	}()
 }
 
-func (h *Host) finishProbe(s balancer.Server, remainingColdTime clock.Millis, healthy bool) {
+func (h *Host) finishProbe(s balancer.Server, remainingColdTime clock.Millis, load observer.Load, healthy bool) {
 	delete(h.probing, s.ID)
 	if !healthy {
 		return
@@ -56,31 +58,36 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.balancer.MarkReachable(s.ID)
+	h.balancer.RecordLoad(s.ID, load, h.cfg.Clock.Now())
 }
 
 // checkHealth makes one health check and returns the time for which the server
-// reports that it stays cold.
-func (h *Host) checkHealth(s balancer.Server, path string) (clock.Millis, error) {
+// reports that it stays cold, and its load.
+func (h *Host) checkHealth(s balancer.Server, path string) (clock.Millis, observer.Load, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, probeTimeout)
 	defer cancel()
 	resp, err := h.courier.Send(ctx, courier.Target{ID: s.ID, Address: s.Address}, &courier.Request{
 		Method: http.MethodGet, URI: path, Host: s.Address, Header: http.Header{h.cfg.Headers.ExpectedServer: {s.ID}}, FreshConn: true,
 	})
 	if err != nil {
-		return 0, err
+		return 0, observer.Load{}, err
 	}
 	if resp.Status != http.StatusOK || resp.Header.Get(h.cfg.Headers.ServerID) != s.ID {
-		return 0, fmt.Errorf("%w: status %d, server ID %q", errUnhealthy, resp.Status, resp.Header.Get(h.cfg.Headers.ServerID))
+		return 0, observer.Load{}, fmt.Errorf("%w: status %d, server ID %q", errUnhealthy, resp.Status, resp.Header.Get(h.cfg.Headers.ServerID))
 	}
 	v := resp.Header.Get(h.cfg.Headers.RemainingColdTime)
+	load, err := steerer.ParseLoad(resp.Header, h.cfg.Headers.ServerLoad)
+	if err != nil {
+		h.cfg.Meter.Add("loads_unreadable", 1)
+	}
 	if v == "" {
-		return 0, nil
+		return 0, load, nil
 	}
 	ms, err := strconv.ParseFloat(v, 64)
 	if err != nil {
-		return 0, err
+		return 0, observer.Load{}, err
 	}
-	return clock.Millis(ms), nil
+	return clock.Millis(ms), load, nil
 }
 
 // errUnhealthy is returned when a health check was answered by another server or
--- a/pkg/hoster/report.go
+++ b/pkg/hoster/report.go
@@ -29,6 +29,7 @@
 	r.UsesAfter, since = h.fleet.baseReport(receiver)
 	r.Uses = encodeUsage(h.rationer.UsageSince(since, now))
 	r.Notices = encodeNotices(h.balancer.NoticesSince(since, now))
+	r.StatedLoads = encodeLoads(h.loadsFor(receiver, since, now))
 	r.Placements = encodePlacements(h.placementsFor(receiver, r.Sequence, since, now))
 	for name, rate := range h.balancer.Demands(now) {
 		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
@@ -36,6 +37,15 @@
 	return r
 }
 
+// loadsFor returns the loads that servers have stated since a time, for the next report to
+// another host. On their way to another region they would outlive most changes of a pace.
+func (h *Host) loadsFor(receiver string, since, now clock.Millis) []balancer.ServerLoad {
+	if !h.fleet.isInRegion(receiver) {
+		return nil
+	}
+	return h.balancer.LoadsSince(since, now)
+}
+
 // placementsFor returns the placements for the next report to another host, whose last
 // applied report of this host is from since. Hosts of other regions place objects by
 // themselves. A host that has started gets all placements, from two hosts of its region.
@@ -106,6 +116,9 @@
 	}, now)
 	h.balancer.ApplyPlacements(decodePlacements(r.GetPlacements(), h.serverNames), now)
 	h.balancer.ApplyNotices(decodeNotices(r.GetNotices(), h.serverNames), now)
+	loads := decodeLoads(r.GetStatedLoads(), h.serverNames)
+	h.balancer.ApplyLoads(loads, now)
+	h.cfg.Meter.Add("loads_received", int64(len(loads)))
 	if rtt > 0 {
 		h.balancer.RecordRTT(r.GetRegion(), float64(rtt))
 	}
--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -133,6 +133,12 @@
 	if c.choice.Server.ID != "" || c.choice.Refused {
 		event = event.Str("server", c.choice.Server.ID).Int("load", c.choice.InFlight).Bool("warm", c.choice.Warm).Bool("known", c.knownWarm).Str("region", c.choice.Server.Region).
 			Int64("estimate_ms", int64(c.choice.EstimatedLatency))
+		if c.choice.Stated.IsStated() {
+			event = event.Int("stated_load", c.choice.Stated.Requests()).Int64("stated_age_ms", int64(c.choice.StatedAge)).Float64("pace", math.Round(c.choice.Pace*100)/100)
+		}
+		if c.answerLoad.IsStated() {
+			event = event.Int("answer_load", c.answerLoad.Requests()).Int("answer_waiting", c.answerLoad.Waiting).Float64("answer_pace", c.answerLoad.Pace)
+		}
 	}
 	event.Msg("request")
 }
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -21,6 +21,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/meter"
+	"catkindyke/pkg/observer"
 	"catkindyke/pkg/rationer"
 )
 
@@ -57,7 +58,7 @@
 	// NotExecuted marks responses of servers that did not run the request.
 	NotExecuted string
 	// ServerLoad holds the numbers of a server's running and waiting requests and of
-	// its slots.
+	// its slots, and its pace in percent.
 	ServerLoad string
 	// ServerID is the ID of the server in a health check response.
 	ServerID string
@@ -143,6 +144,8 @@
 	mayHaveRun bool
 	// choice is the balancer's last decision.
 	choice balancer.Choice
+	// answerLoad is the load that the server stated in its last response.
+	answerLoad observer.Load
 	// knownWarm is set if the chosen server is known to be warm for the object.
 	knownWarm bool
 	// inFlight is set while the balancer counts the request as in flight at the chosen
@@ -357,7 +360,7 @@
 		attemptStart := s.cfg.Clock.Now()
 		resp, err := s.cfg.Send(ctx, courier.Target{ID: c.choice.Server.ID, Address: c.choice.Server.Address}, s.backendRequest(c))
 		result := s.classifyAttempt(ctx, resp, err)
-		s.recordAttempt(c, balancer.Attempt{Result: result, Duration: s.cfg.Clock.Now() - attemptStart, Notice: s.notice(c, result, resp)})
+		s.recordAttempt(c, balancer.Attempt{Result: result, Duration: s.cfg.Clock.Now() - attemptStart, Notice: s.notice(c, result, resp), Load: s.load(c, result, resp)})
 		c.attemptedServers = append(c.attemptedServers, c.choice.Server.ID)
 		if !errors.Is(err, courier.ErrNotSent) {
 			c.sentAttempts++
@@ -426,6 +429,7 @@
 // recordAttempt reports to the balancer how the attempt at the chosen server ended.
 func (s *Steerer) recordAttempt(c *call, a balancer.Attempt) {
 	c.inFlight = false
+	c.answerLoad = a.Load
 	a.Choice, a.Class, a.KnownWarm = c.choice, c.route.Name, c.knownWarm
 	if s.cfg.RecordAttempt(a) {
 		s.logNotice(c, a.Notice)
