--- a/pkg/balancer/replay_known_red_test.go
+++ b/pkg/balancer/replay_known_red_test.go
@@ -38,23 +38,30 @@
 	}
 }
 
-// At peak load in a small and in a large fleet, a third of the servers advertises a limit, or half
-// of them says that it drains. The target is 0.85 of the ideal.
+// In a large fleet, a pace has changed before hosts hear of it.
+func TestReplayPacesLargeRed(t *testing.T) { pacesCase(large).run(t) }
+
+// Servers stay warm for 10 objects and there are 8.4 for each. Hosts know only the objects of their
+// own region, let idle servers warm up for more, and take those for warm that have forgotten.
+func TestReplayFewWarmObjectsRed(t *testing.T) {
+	size := small
+	size.maxRecentObjects = 10
+	replayCase{"few warm objects", size, peakLoad, func(*replay) {}, 0.85}.run(t)
+}
+
+// At peak load, a third of the servers advertises a limit (TestReplayLimitsLargeFleet passes).
+func TestReplayLimitsRed(t *testing.T) { limitsCase(small).run(t) }
+
+// At peak load in a small and in a large fleet, half of the servers says that it drains. The
+// target is 0.85 of the ideal.
 func TestReplayNoticesRed(t *testing.T) {
 	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
 		load := func(string, clock.Millis) float64 { return 1.7 * size.baseRate }
-		for _, c := range []replayCase{
-			{"a third of the servers advertises a limit", size, load, func(r *replay) {
-				r.withNotices(burstStart, Notice{Limit: RateLimit{Limited: true, PerSecond: 4}}, func(i int) bool { return i%3 == 0 })
-			}, 0.85},
-			{"half of the servers drains within 2 s", size, load, func(r *replay) {
-				for n := range 4 {
-					r.withNotices(burstStart+clock.Millis(n)*500, Notice{Draining: true}, func(i int) bool { return i%8 == 2*n })
-				}
-				r.removeServers(burstStart+4*clock.Second, func(i int, _ Server) bool { return i%2 == 0 })
-			}, 0.85},
-		} {
-			t.Run(fleet+", "+c.name, c.run)
-		}
+		t.Run(fleet+", half of the servers drains within 2 s", replayCase{"drains", size, load, func(r *replay) {
+			for n := range 4 {
+				r.withNotices(burstStart+clock.Millis(n)*500, Notice{Draining: true}, func(i int) bool { return i%8 == 2*n })
+			}
+			r.removeServers(burstStart+4*clock.Second, func(i int, _ Server) bool { return i%2 == 0 })
+		}, 0.85}.run)
 	}
 }
--- a/pkg/balancer/replay_test.go
+++ b/pkg/balancer/replay_test.go
@@ -236,6 +236,17 @@
 	})
 }
 
+// limitsCase is a peak load at which a third of the servers advertises a limit. The target is 0.85
+// of the ideal.
+func limitsCase(size replaySize) replayCase {
+	load := func(string, clock.Millis) float64 { return 1.7 * size.baseRate }
+	return replayCase{"a third of the servers advertises a limit", size, load, func(r *replay) {
+		r.withNotices(burstStart, Notice{Limit: RateLimit{Limited: true, PerSecond: 4}}, func(i int) bool { return i%3 == 0 })
+	}, 0.85}
+}
+
+func TestReplayLimitsLargeFleet(t *testing.T) { limitsCase(large).run(t) }
+
 // A tenth of the servers after the other turns requests away for 2 s at peak load.
 func TestReplayBackoff(t *testing.T) {
 	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
