--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -321,7 +321,7 @@
 	h.balancer.Tick(now)
 	h.balancer.SetLiveHosts(h.fleet.liveHosts(now))
 	h.rationer.ExpireHosts(now)
-	unreachable, suspected := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected()
+	unreachable, suspected, paceHold := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected(), int64(h.balancer.PaceHold())
 	h.mu.Unlock()
 	for _, id := range suspected {
 		h.cfg.Meter.Add("servers_suspected", 1)
@@ -330,6 +330,7 @@
 	for _, s := range unreachable {
 		h.startProbe(s)
 	}
+	h.cfg.Meter.Set("pace_hold_ms", paceHold)
 	h.cfg.Meter.Set("hosts_live", int64(h.fleet.liveCount(now)))
 	h.cfg.Meter.Set("config_age_ms", int64(now)-h.configConfirmedAt.Load())
 	h.cfg.Meter.Set("servers", int64(len(h.registrar.Entries())))
--- a/pkg/steerer/second.go
+++ b/pkg/steerer/second.go
@@ -10,6 +10,7 @@
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
+	"catkindyke/pkg/observer"
 )
 
 var (
@@ -59,6 +60,8 @@
 	resp   *courier.Response
 	err    error
 	result balancer.Result
+	// load is what the server stated in its response.
+	load observer.Load
 }
 
 // send sends the request to the attempt's server and records how that ended.
@@ -72,8 +75,9 @@
 	}()
 	a.resp, a.err = s.cfg.Send(a.ctx, courier.Target{ID: a.choice.Server.ID, Address: a.choice.Server.Address}, s.backendRequest(c, a.choice.Server))
 	a.result = s.classifyAttempt(a.ctx, a.resp, a.err)
+	a.load = s.load(c, a)
 	recorded = true
-	s.recordAttempt(c, a, balancer.Attempt{Result: a.result, Duration: s.cfg.Clock.Now() - start, Notice: s.notice(c, a)})
+	s.recordAttempt(c, a, balancer.Attempt{Result: a.result, Duration: s.cfg.Clock.Now() - start, Notice: s.notice(c, a), Load: a.load})
 }
 
 // runAttempts sends the request to the chosen server and, if that takes long and the
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -21,6 +21,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/meter"
+	"catkindyke/pkg/observer"
 	"catkindyke/pkg/rationer"
 	"catkindyke/pkg/reserver"
 	"catkindyke/pkg/screener"
@@ -63,7 +64,7 @@
 	// NotExecuted marks responses of servers that did not run the request.
 	NotExecuted string
 	// ServerLoad holds the numbers of a server's running and waiting requests and of
-	// its slots.
+	// its slots, and its pace in percent.
 	ServerLoad string
 	// ServerID is the ID of the server in a health check response.
 	ServerID string
@@ -160,6 +161,8 @@
 	mayHaveRun bool
 	// choice is the balancer's last decision.
 	choice balancer.Choice
+	// answerLoad is the load that the server stated in its last response.
+	answerLoad observer.Load
 	// knownWarm is set if the chosen server is known to be warm for the object.
 	knownWarm bool
 	// inFlight is set while the balancer counts the request as in flight at the chosen
@@ -398,7 +401,7 @@
 			}
 		}
 		a := attempts[len(attempts)-1]
-		c.choice, c.knownWarm = a.choice, a.knownWarm
+		c.choice, c.knownWarm, c.answerLoad = a.choice, a.knownWarm, a.load
 		switch a.result {
 		case balancer.Answered:
 			return a.resp, nil
