hoster: reports leave out what their receiver has

Change: a partial report follows one that its receiver has applied, and leaves out region, zone, addresses, unchanged revisions, demands that have not changed by a tenth, and requests in flight that have not changed since; all counts are sent when these are fewer. The sequence number of the last change is kept once for all receivers, and the values are the current ones, so that loss and order don't matter. Servers and workspaces are named by 32 bits of their hash, unless names share them. Complete reports go out without an acknowledged base and each 10 s; a host that has restarted tells so in its answer and gets one at once. Hosts of earlier versions don't set takes_partial and get what they got before; a retry budget, liveness, confirmations, rates and Wake use the same reports at the same times.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -131,16 +131,36 @@
 
 // Exchange handles the call of another host.
 func (g *Gossiper) Exchange(_ context.Context, report *schema.HostReport) (*schema.HostReport, error) {
-	g.AddPeer(report.GetPeerAddress())
-	g.handleReport(report.GetPeerAddress(), report, 0)
+	address := report.GetPeerAddress()
+	if report.GetPartial() {
+		address = g.addressOf(report.GetName())
+	}
+	g.AddPeer(address)
+	g.handleReport(address, report, 0)
 	return g.cfg.BuildReport(report.GetName()), nil
 }
 
+// addressOf returns the peer address of the host that last reported under a name, which
+// partial reports leave out, or an empty string if there is none.
+func (g *Gossiper) addressOf(name string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for address, p := range g.peers {
+		if p.name == name {
+			return address
+		}
+	}
+	return ""
+}
+
 func (g *Gossiper) handleReport(address string, report *schema.HostReport, rtt clock.Millis) {
 	g.mu.Lock()
 	regained := false
 	if p := g.peers[address]; p != nil {
-		p.reportedAt, p.name, p.region = g.cfg.Clock.Now(), report.GetName(), report.GetRegion()
+		p.reportedAt, p.name = g.cfg.Clock.Now(), report.GetName()
+		if !report.GetPartial() {
+			p.region = report.GetRegion()
+		}
 		regained, p.lost = p.lost, false
 	}
 	g.mu.Unlock()
@@ -211,21 +231,32 @@
 	return max(g.cfg.RemoteInterval, time.Duration(count)*time.Second/remoteExchangesPerSecond)
 }
 
-// call exchanges reports with a peer and reports whether it answered.
+// call exchanges reports with a peer and reports whether it answered. A peer that has
+// restarted can't use a partial report and gets a complete one at once.
 func (g *Gossiper) call(ctx context.Context, address string, p *peer) bool {
+	sent, answer := g.callOnce(ctx, address, p)
+	if answer != nil && sent.GetPartial() && answer.GetEchoSequence() == 0 {
+		_, answer = g.callOnce(ctx, address, p)
+	}
+	return answer != nil
+}
+
+// callOnce makes one call and returns both reports, a nil answer if there was none.
+func (g *Gossiper) callOnce(ctx context.Context, address string, p *peer) (sent, answer *schema.HostReport) {
 	g.mu.Lock()
 	name := p.name
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := g.cfg.Clock.Now()
-	report, err := g.cfg.Dial(ctx, address).Exchange(ctx, g.cfg.BuildReport(name))
+	sent = g.cfg.BuildReport(name)
+	answer, err := g.cfg.Dial(ctx, address).Exchange(ctx, sent)
 	if err != nil {
 		g.cfg.Log.Debug().Str("address", address).Err(err).Msg("exchange_failed")
-		return false
+		return sent, nil
 	}
-	g.handleReport(address, report, max(1, g.cfg.Clock.Now()-sentAt))
-	return true
+	g.handleReport(address, answer, max(1, g.cfg.Clock.Now()-sentAt))
+	return sent, answer
 }
 
 // checkLost marks a peer as lost, and logs it once, when its reports have stopped
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -179,3 +179,50 @@
 		assertBetween(t, "reports received per host and second", (total()-before)/2/len(names), 60, 150)
 	})
 }
+
+// restartedClient answers as a host that has restarted and lacks what partial reports leave out.
+type restartedClient struct{ got *[]bool }
+
+func (restartedClient) DRPCConn() drpc.Conn { return nil }
+
+func (c restartedClient) Exchange(_ context.Context, r *schema.HostReport) (*schema.HostReport, error) {
+	*c.got = append(*c.got, r.GetPartial())
+	return &schema.HostReport{Name: "b", PeerAddress: "b"}, nil
+}
+
+// A host that has restarted must get a complete report at once, not an interval later, which
+// takes seconds in a large fleet.
+func TestCompleteReportAfterRestart(t *testing.T) {
+	var got []bool
+	partial := true
+	g := New(t.Context(), Config{
+		Name: "a", Address: "a", LocalInterval: time.Hour, RemoteInterval: time.Hour, Clock: clock.New(), Log: zerolog.Nop(),
+		BuildReport: func(string) *schema.HostReport {
+			r := &schema.HostReport{Name: "a", Partial: partial}
+			partial = false
+			return r
+		},
+		HandleReport: func(*schema.HostReport, clock.Millis) {},
+		Dial:         func(context.Context, string) schema.DRPCFleetClient { return restartedClient{&got} },
+	})
+	if !g.call(t.Context(), "b", &peer{name: "b"}) || len(got) != 2 || !got[0] || got[1] {
+		t.Errorf("calls with partial reports: %v, want one and then a complete one", got)
+	}
+}
+
+// A partial report has no address and must count for the host that has reported under its name.
+func TestPartialReportWithoutAddress(t *testing.T) {
+	now := &clock.Manual{}
+	g := New(t.Context(), Config{
+		Name: "a", Address: "a", Clock: now.Clock(), Log: zerolog.Nop(),
+		BuildReport: func(string) *schema.HostReport { return &schema.HostReport{} }, HandleReport: func(*schema.HostReport, clock.Millis) {},
+	})
+	g.peers["b"] = &peer{name: "b", region: "r"}
+	now.Advance(500)
+	if _, err := g.Exchange(t.Context(), &schema.HostReport{Name: "b", Partial: true}); err != nil {
+		t.Fatal(err)
+	}
+	if p := g.peers["b"]; p.reportedAt != 500 || p.region != "r" {
+		t.Errorf("peer %+v, want a report at 500 ms and region r", p)
+	}
+}
--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -12,34 +12,55 @@
 	"catkindyke/pkg/schema"
 )
 
-func decodeRates(list []*schema.Rate) map[string]float64 {
-	out := make(map[string]float64, len(list))
-	for _, r := range list {
-		out[r.GetName()] = r.GetPerS()
+// namesByHash resolves the hashes that stand for names in reports, and their lower 32 bits,
+// which take half the bytes. Lower bits that several names share resolve to no name.
+type namesByHash map[uint64]string
+
+func (d namesByHash) add(name string) {
+	hash := xxhash.Sum64String(name)
+	d[hash] = name
+	if d.isShared(name, hash) {
+		name = ""
 	}
-	return out
+	d[shortHash(hash)] = name
 }
 
-// namesByHash resolves the hashes that stand for names in reports.
-type namesByHash map[uint64]string
+// isShared reports whether another name has the same lower 32 bits.
+func (d namesByHash) isShared(name string, hash uint64) bool {
+	other, ok := d[shortHash(hash)]
+	return ok && other != name
+}
 
-func (d namesByHash) add(name string) { d[xxhash.Sum64String(name)] = name }
+func shortHash(hash uint64) uint64 { return hash & math.MaxUint32 }
 
-func encodeInFlight(loads map[string]int) *schema.ServerLoads {
-	out := &schema.ServerLoads{}
-	for id, n := range loads {
-		out.ServerHashes = append(out.ServerHashes, xxhash.Sum64String(id))
-		out.InFlight = append(out.InFlight, uint32(n))
+// hashAt returns the hash at an index of two lists, one of which is empty.
+func hashAt(hashes []uint64, short []uint32, i int) uint64 {
+	if i < len(hashes) {
+		return hashes[i]
+	}
+	return uint64(short[i-len(hashes)])
+}
+
+// applyLoads sets the requests in flight that a report holds. A list that was cut short sets none.
+func applyLoads(loads map[uint64]uint32, change *schema.ServerLoads) {
+	hashes, short := change.GetServerHashes(), change.GetShortHashes()
+	for i, n := range change.GetInFlight() {
+		switch {
+		case i >= len(hashes)+len(short):
+		case n == 0:
+			delete(loads, hashAt(hashes, short, i))
+		default:
+			loads[hashAt(hashes, short, i)] = n
+		}
 	}
-	return out
 }
 
 // decodeInFlight skips servers that are unknown here: they get no requests.
-func decodeInFlight(loads *schema.ServerLoads, names namesByHash) map[string]int {
-	out := make(map[string]int, len(loads.GetServerHashes()))
-	for i, hash := range loads.GetServerHashes() {
-		if id, ok := names[hash]; ok && i < len(loads.GetInFlight()) {
-			out[id] = int(loads.GetInFlight()[i])
+func decodeInFlight(loads map[uint64]uint32, names namesByHash) map[string]int {
+	out := make(map[string]int, len(loads))
+	for hash, n := range loads {
+		if id := names[hash]; id != "" {
+			out[id] = int(n)
 		}
 	}
 	return out
@@ -102,10 +123,19 @@
 // stands for.
 const demandUnit = 0.01
 
-func encodeUsage(uses map[string]rationer.Usage) *schema.WorkspaceUses {
+// encodeUsage uses short hashes if allowed and unless workspaces share them.
+func encodeUsage(uses map[string]rationer.Usage, names namesByHash, short bool) *schema.WorkspaceUses {
 	out := &schema.WorkspaceUses{}
 	for name, use := range uses {
-		out.WorkspaceHashes = append(out.WorkspaceHashes, xxhash.Sum64String(name))
+		hash := xxhash.Sum64String(name)
+		if short && names.isShared(name, hash) {
+			return encodeUsage(uses, names, false)
+		}
+		if short {
+			out.ShortHashes = append(out.ShortHashes, uint32(shortHash(hash)))
+		} else {
+			out.WorkspaceHashes = append(out.WorkspaceHashes, hash)
+		}
 		out.Demands = append(out.Demands, uint32(math.Round(use.Demand/demandUnit)))
 		out.Admitted = append(out.Admitted, use.Admitted)
 	}
@@ -114,13 +144,13 @@
 
 // decodeUsage skips workspaces that are not in this host's configuration.
 func decodeUsage(uses *schema.WorkspaceUses, names namesByHash) map[string]rationer.Usage {
-	out := make(map[string]rationer.Usage, len(uses.GetWorkspaceHashes()))
-	for i, hash := range uses.GetWorkspaceHashes() {
-		name, ok := names[hash]
-		if !ok || i >= len(uses.GetDemands()) || i >= len(uses.GetAdmitted()) {
-			continue
+	hashes, short := uses.GetWorkspaceHashes(), uses.GetShortHashes()
+	count := min(len(hashes)+len(short), len(uses.GetDemands()), len(uses.GetAdmitted()))
+	out := make(map[string]rationer.Usage, count)
+	for i := range count {
+		if name := names[hashAt(hashes, short, i)]; name != "" {
+			out[name] = rationer.Usage{Demand: float64(uses.GetDemands()[i]) * demandUnit, Admitted: uses.GetAdmitted()[i]}
 		}
-		out[name] = rationer.Usage{Demand: float64(uses.GetDemands()[i]) * demandUnit, Admitted: uses.GetAdmitted()[i]}
 	}
 	return out
 }
--- a/pkg/hoster/fleet.go
+++ b/pkg/hoster/fleet.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -37,6 +38,10 @@
 	placementSenders = 2
 )
 
+// completeInterval is the longest time between complete reports to a host. Partial reports
+// are exact; complete ones limit how long an unknown fault of either host would last.
+const completeInterval = 10 * clock.Second
+
 // member is the state of another host, as it last reported it, or as it is announced in
 // the store if it has not.
 type member struct {
@@ -57,6 +62,15 @@
 	// placementsSequence is the sequence number of the first report to it that held all
 	// placements, or 0.
 	placementsSequence uint64
+	// takesPartial reports whether the host understands partial reports. completeSequence and
+	// completeSentAt are those of the last short and complete report to it, or 0.
+	takesPartial     bool
+	completeSequence uint64
+	completeSentAt   clock.Millis
+	// loads are its requests in flight by the hash of the server's ID, and demands its service
+	// demands. Reports change loads in place and replace demands.
+	loads   map[uint64]uint32
+	demands map[string]float64
 }
 
 // isLive reports whether the host's last report is recent.
@@ -140,6 +154,52 @@
 	return 0, 0
 }
 
+// chooseForm decides about the next report to a host, after its last one with a sequence
+// number base, or 0: whether it may be short, with fields that hosts of earlier versions don't
+// know, and whether it may leave out what has not changed since a short report.
+func (f *fleet) chooseForm(name string, base, sequence uint64, now clock.Millis) (short, partial bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	if m == nil || !m.takesPartial {
+		return false, false
+	}
+	if base > 0 && m.completeSequence > 0 && base >= m.completeSequence && now-m.completeSentAt < completeInterval {
+		return true, true
+	}
+	m.completeSequence, m.completeSentAt = sequence, now
+	return true, false
+}
+
+// receivedState is what a host has reported, without the servers' names.
+type receivedState struct {
+	region    string
+	revisions []relayer.Revision
+	loads     map[uint64]uint32
+	demands   map[string]float64
+}
+
+// applyState applies the loads and demands of a report that recordReport has accepted, and
+// returns the state of its host. Only handleReport calls it.
+func (f *fleet) applyState(r *schema.HostReport) receivedState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[r.GetName()]
+	if !r.GetPartial() || r.GetAllLoads() {
+		m.loads = make(map[uint64]uint32, len(r.GetLoads().GetInFlight()))
+	}
+	if !r.GetPartial() {
+		m.demands = make(map[string]float64, len(r.GetServiceDemands()))
+	} else if len(r.GetServiceDemands()) > 0 {
+		m.demands = maps.Clone(m.demands) // the balancer uses the old map
+	}
+	applyLoads(m.loads, r.GetLoads())
+	for _, d := range r.GetServiceDemands() {
+		m.demands[d.GetName()] = d.GetPerS()
+	}
+	return receivedState{m.region, m.revisions, m.loads, m.demands}
+}
+
 // pollRank is this host's place in the order in which hosts poll the store: the
 // first live hosts by name, the first one of each region, and all others. The first
 // host of a region polls before the others, so that they do not all lack a
@@ -260,8 +320,12 @@
 	if r.GetIncarnation() < m.incarnation || (r.GetIncarnation() == m.incarnation && r.GetSequence() <= m.sequence) {
 		return "", false
 	}
+	if r.GetPartial() && (r.GetIncarnation() != m.incarnation || m.sequence < r.GetUsesAfter()) {
+		// This host has restarted. Its report tells the sender so.
+		return "", false
+	}
 	hasReported := m.incarnation != 0
-	if m.peerAddress != r.GetPeerAddress() {
+	if !r.GetPartial() && m.peerAddress != r.GetPeerAddress() {
 		oldPeerAddress = m.peerAddress
 	}
 	if m.incarnation != r.GetIncarnation() {
@@ -271,12 +335,17 @@
 	if r.GetEchoIncarnation() == f.incarnation {
 		m.ackedSequence = r.GetEchoSequence()
 	}
-	m.region, m.zone, m.callerAddress, m.peerAddress = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
+	m.takesPartial = r.GetTakesPartial()
+	if !r.GetPartial() {
+		m.region, m.zone, m.callerAddress, m.peerAddress = r.GetRegion(), r.GetAvailabilityZone(), r.GetCallerAddress(), r.GetPeerAddress()
+	}
 	if hasReported && m.isLive(now) {
 		m.reportInterval += intervalWeight * (float64(now-m.lastReportAt) - m.reportInterval)
 	}
 	m.ready, m.leaving, m.storeLost, m.lastReportAt = r.GetReady(), r.GetLeaving(), r.GetStoreLost(), now
-	m.revisions = decodeRevisions(r.GetRevisions())
+	if !r.GetPartial() || len(r.GetRevisions()) > 0 {
+		m.revisions = decodeRevisions(r.GetRevisions())
+	}
 	return oldPeerAddress, true
 }
 
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -142,6 +142,8 @@
 	splitPoints map[string]float64
 	// workspaceNames and serverNames resolve the hashes in reports of other hosts.
 	workspaceNames, serverNames namesByHash
+	// reported is what this host reports to others.
+	reported reportedState
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	// configConfirmedAt is when the configuration was last known to be the newest, or -1.
--- a/pkg/hoster/report.go
+++ b/pkg/hoster/report.go
@@ -11,28 +11,29 @@
 func (h *Host) buildReport(receiver string) *schema.HostReport {
 	now := h.cfg.Clock.Now()
 	r := &schema.HostReport{
-		Name: h.cfg.Name, Incarnation: h.incarnation, Sequence: h.reportSequence.Add(1),
-		Region: h.cfg.Region, AvailabilityZone: h.cfg.AvailabilityZone,
-		CallerAddress: h.cfg.CallerAddress, PeerAddress: h.cfg.PeerAddress,
-		Ready: h.Ready(), Leaving: h.stop.Load() != nil,
+		Name: h.cfg.Name, Incarnation: h.incarnation, Ready: h.Ready(), Leaving: h.stop.Load() != nil, TakesPartial: true,
 	}
 	r.EchoIncarnation, r.EchoSequence = h.fleet.lastApplied(receiver)
-	h.fleet.recordSent(r.Sequence, now)
 	r.StoreLost = h.storeLostAt.Load() != 0
-	r.Revisions = encodeRevisions(h.relayer.Revisions())
 	r.Batches = encodeBatches(h.relayer.MissingBatches(h.fleet.relayRevisions(receiver, now)))
 	r.ConfigVersion, r.ConfigAgeMs = h.reportedConfig(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r.Loads = encodeInFlight(h.balancer.InFlight())
+	// The changes are observed in the order of the sequence numbers.
+	r.Sequence = h.reportSequence.Add(1)
+	h.fleet.recordSent(r.Sequence, now)
+	h.reported.observe(r.Sequence, h.balancer.InFlight(), h.balancer.Demands(now), h.relayer.Revisions(), h.serverNames)
 	since := clock.Millis(0)
 	r.UsesAfter, since = h.fleet.baseReport(receiver)
-	r.Uses = encodeUsage(h.rationer.UsageSince(since, now))
+	short, partial := h.fleet.chooseForm(receiver, h.reported.base(r.UsesAfter), r.Sequence, now)
+	if r.Partial = partial; !partial {
+		r.Region, r.AvailabilityZone = h.cfg.Region, h.cfg.AvailabilityZone
+		r.CallerAddress, r.PeerAddress = h.cfg.CallerAddress, h.cfg.PeerAddress
+	}
+	h.reported.encode(r, short)
+	r.Uses = encodeUsage(h.rationer.UsageSince(since, now), h.workspaceNames, short)
 	r.Notices = encodeNotices(h.balancer.NoticesSince(since, now))
 	r.Placements = encodePlacements(h.placementsFor(receiver, r.Sequence, since, now))
-	for name, rate := range h.balancer.Demands(now) {
-		r.ServiceDemands = append(r.ServiceDemands, &schema.Rate{Name: name, PerS: rate})
-	}
 	return r
 }
 
@@ -95,19 +96,20 @@
 		h.newestReported.Store(r.GetConfigVersion())
 	}
 	h.enqueueBatches(r.GetBatches())
-	h.relayer.ObserveRevisions(decodeRevisions(r.GetRevisions()), now)
+	state := h.fleet.applyState(r)
+	h.relayer.ObserveRevisions(state.revisions, now)
 	if asOf, ok := h.configConfirmation(r); ok {
 		h.confirmConfig(asOf)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.balancer.SetLoadReport(r.GetName(), balancer.LoadReport{
-		Region: r.GetRegion(), InFlight: decodeInFlight(r.GetLoads(), h.serverNames), Demands: decodeRates(r.GetServiceDemands()),
+		Region: state.region, InFlight: decodeInFlight(state.loads, h.serverNames), Demands: state.demands,
 	}, now)
 	h.balancer.ApplyPlacements(decodePlacements(r.GetPlacements(), h.serverNames), now)
 	h.balancer.ApplyNotices(decodeNotices(r.GetNotices(), h.serverNames), now)
 	if rtt > 0 {
-		h.balancer.RecordRTT(r.GetRegion(), float64(rtt))
+		h.balancer.RecordRTT(state.region, float64(rtt))
 	}
 	if h.catalog.Load() == nil {
 		// Without workspaces, counts of admitted requests can't be assigned to them.
