admitter: urgent requests and workspaces with less go first

What callers saw: with demand above the slots, less urgent kinds are served more often than urgent ones of the same service, since they may wait longer and fill the queues.

Change: pkg/admitter, pure, one for each service and host. Within 1 s after a refusal the limit of a less urgent kind falls towards that of a more urgent one as far as that one is not admitted more often, and the limits of workspaces differ by 0.5 to 2 by what they got before. Metric requests_put_back. The factors of priority in waiting.go stay as they are, so that earlier deployments are served as before; the design said that they are replaced. Zones are not counted: a host sees the callers of its own zone.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -81,6 +81,8 @@
 	TimeLeft clock.Millis
 	// Priority orders requests when capacity is short; 0 is the most urgent.
 	Priority float64
+	// Workspace is the caller's workspace, empty if there is none.
+	Workspace string
 	// CallerTimeout is the time that the caller allowed for the request, 0 if it named
 	// none. A caller that retries after a refusal allows less than others.
 	CallerTimeout clock.Millis
@@ -168,6 +170,9 @@
 	hashCounter uint64
 	// newlySuspected are the servers suspected since the last call of TakeSuspected.
 	newlySuspected []string
+	// putBack counts the requests that were refused only because more urgent ones or other
+	// workspaces went first.
+	putBack int64
 }
 
 // LoadReport is the load that another host reports.
@@ -353,6 +358,10 @@
 	d.add(now)
 }
 
+// PutBack returns the number of requests that were refused only because more urgent ones or
+// those of other workspaces went first.
+func (b *Balancer) PutBack() int64 { return b.putBack }
+
 // Demands returns this host's number of requests per second by service.
 func (b *Balancer) Demands(now clock.Millis) map[string]float64 {
 	out := make(map[string]float64, len(b.demands))
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"catkindyke/pkg/admitter"
 	"catkindyke/pkg/clock"
 )
 
@@ -130,13 +131,14 @@
 	// meanServiceTime is the mean time in ms for which a request occupies a slot.
 	meanServiceTime float64
 	standingQueue   standingQueue
+	admitter        *admitter.Admitter
 }
 
 func newPool(old *pool) *pool {
-	p := &pool{slotsByRegion: make(map[string]float64), slotLossAt: make(map[string]clock.Millis)}
+	p := &pool{slotsByRegion: make(map[string]float64), slotLossAt: make(map[string]clock.Millis), admitter: admitter.New()}
 	if old != nil {
 		p.shares, p.meanServiceTime, p.shifting, p.standingQueue = old.shares, old.meanServiceTime, old.shifting, old.standingQueue
-		p.baselineSlots, p.slotLossAt = old.baselineSlots, old.slotLossAt
+		p.baselineSlots, p.slotLossAt, p.admitter = old.baselineSlots, old.slotLossAt, old.admitter
 	}
 	return p
 }
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -38,13 +38,25 @@
 	// onSend and onResponse are called when a host sends a request to a server and when it
 	// gets the response, if they are set.
 	onSend, onResponse func(h *replayHost, server string)
+	// onAnswer is called for each request that is answered, if it is set.
+	onAnswer func(call *replayRequest)
 	// reasons counts all refusals by reason.
 	reasons map[string]int
+	// mix returns the kind and the workspace of the next request, if it is set.
+	mix func() (k *replayKind, workspace string)
 	// countFrom is the time of arrival from which requests count in the results.
 	countFrom                    clock.Millis
 	total, inTime, late, refused int
 }
 
+// replayKind is a class of requests with a priority.
+type replayKind struct {
+	class                  string
+	priority               float64
+	targetLatency, timeout clock.Millis
+	asked, answered        int
+}
+
 type replayHost struct {
 	region   string
 	balancer *Balancer
@@ -245,13 +257,26 @@
 	if counted {
 		r.total++
 	}
-	r.attempt(&replayRequest{host: h, object: r.nextObject(h.region), firstSent: r.now, counted: counted, retries: r.retries})
+	call := &replayRequest{
+		host: h, object: r.nextObject(h.region), firstSent: r.now, counted: counted, retries: r.retries,
+		kind: &replayKind{class: "look", targetLatency: r.size.targetLatency, timeout: r.size.timeout},
+	}
+	if r.mix != nil {
+		call.kind, call.workspace = r.mix()
+	}
+	if counted {
+		call.kind.asked++
+	}
+	r.attempt(call)
 }
 
 // replayRequest is a request with its retries.
 type replayRequest struct {
 	host   *replayHost
 	object string
+	kind   *replayKind
+	// workspace is the name of the caller's workspace.
+	workspace string
 	// firstSent and lastSent are the times of the first and the current attempt. A response
 	// is late in relation to lastSent, because a caller retries when RetryAfter tells it to.
 	firstSent, lastSent clock.Millis
@@ -263,12 +288,13 @@
 func (r *replay) attempt(call *replayRequest) {
 	call.lastSent = r.now
 	elapsed := r.now - call.firstSent
-	if elapsed >= r.size.timeout {
+	if elapsed >= call.kind.timeout {
 		r.finish(call, &r.refused)
 		return
 	}
 	req := Request{
-		Service: "desk", Class: "look", Object: call.object, TargetLatency: r.size.targetLatency, TimeLeft: r.size.timeout - elapsed, CallerTimeout: r.size.timeout - elapsed,
+		Service: "desk", Class: call.kind.class, Object: call.object, TargetLatency: call.kind.targetLatency, TimeLeft: call.kind.timeout - elapsed, CallerTimeout: call.kind.timeout - elapsed,
+		Priority: call.kind.priority, Workspace: call.workspace,
 	}
 	call.host.balancer.CountRequest("desk", r.now)
 	c := call.host.balancer.Choose(req, r.now)
@@ -286,7 +312,7 @@
 		notice := r.servers[c.Server.ID].notice
 		notice.Limit.Known = result == Answered || notice.Limit.Limited
 		r.schedule(rtt-rtt/2, func() {
-			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: knownWarm, Result: result, Duration: r.now - sent, Notice: &notice}, r.now)
+			call.host.balancer.FinishAttempt(Attempt{Choice: c, Class: call.kind.class, KnownWarm: knownWarm, Result: result, Duration: r.now - sent, Notice: &notice}, r.now)
 			if r.onResponse != nil {
 				r.onResponse(call.host, c.Server.ID)
 			}
@@ -300,7 +326,10 @@
 		}
 		r.serve(c.Server, call.object, func() {
 			respond(Answered, func() {
-				if r.now-call.lastSent <= r.size.targetLatency {
+				if call.counted && r.onAnswer != nil {
+					r.onAnswer(call)
+				}
+				if r.now-call.lastSent <= call.kind.targetLatency {
 					r.finish(call, &r.inTime)
 				} else {
 					r.finish(call, &r.late)
--- a/pkg/balancer/waiting.go
+++ b/pkg/balancer/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"catkindyke/pkg/admitter"
 	"catkindyke/pkg/clock"
 )
 
@@ -45,7 +46,18 @@
 	if queue.isStanding(now) {
 		limit = math.Min(limit, timelyDelay)
 	}
-	limit = math.Max(0, limit)
+	ask := admitter.Request{Priority: req.Priority, Workspace: req.Workspace, Limit: math.Max(0, limit)}
+	admitter := b.pools[req.Service].admitter
+	excess := excessOver(admitter.Limit(ask, now), req, best)
+	admitter.Record(ask, excess == 0, now)
+	if excess > 0 && excessOver(ask.Limit, req, best) == 0 {
+		b.putBack++
+	}
+	return excess
+}
+
+// excessOver returns the time by which a request would wait longer than the limit.
+func excessOver(limit float64, req Request, best *candidate) float64 {
 	if best.estimatedLatency > maxTimeLeftFactor*float64(req.TimeLeft) {
 		return math.Max(1, best.queueDelay-limit)
 	}
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -296,8 +296,9 @@
 	h.balancer.Tick(now)
 	h.balancer.SetLiveHosts(h.fleet.liveHosts(now))
 	h.rationer.ExpireHosts(now)
-	unreachable, suspected := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected()
+	unreachable, suspected, putBack := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected(), h.balancer.PutBack()
 	h.mu.Unlock()
+	h.cfg.Meter.Set("requests_put_back", putBack)
 	for _, id := range suspected {
 		h.cfg.Meter.Add("servers_suspected", 1)
 		h.cfg.Log.Info().Str("server", id).Msg("server_suspected")
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -501,10 +501,18 @@
 		Service: c.service, Class: c.route.Name, Object: c.object(s.cfg.Headers.Object), Repeatable: c.isRepeatable(),
 		AllowedRegions: cataloger.AllowedRegions(c.route, c.workspace), AttemptedServers: c.attemptedServers,
 		TargetLatency: c.route.TargetLatency - (s.cfg.Clock.Now() - c.start), TimeLeft: timeLeft,
-		Priority: c.priority(), CallerTimeout: c.callerTimeout,
+		Priority: c.priority(), Workspace: c.workspaceName(), CallerTimeout: c.callerTimeout,
 	}
 }
 
+// workspaceName returns the name of the caller's workspace, or an empty one.
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
 // isRepeatable reports whether the request may be sent again while a server may run it.
 func (c *call) isRepeatable() bool { return c.route.IsIdempotent() && c.stream == nil }
 
