--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -58,6 +58,8 @@
 	secondDelay  clock.Millis
 	chooseSecond func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice
 	stop         atomic.Pointer[Stop]
+	// configStale makes the host refuse keys.
+	configStale atomic.Bool
 	meter        *meter.Meter
 	mu           sync.Mutex
 	// finished holds the results of all attempts.
@@ -91,7 +93,7 @@
 		},
 	})
 	steerer := New(Config{
-		Headers: headers, Catalog: func() *cataloger.Catalog { return catalog }, ConfigFresh: func() bool { return true },
+		Headers: headers, Catalog: func() *cataloger.Catalog { return catalog }, ConfigFresh: func() bool { return !f.configStale.Load() },
 		Admit: func(string) (bool, clock.Millis) { return true, 0 },
 		ChooseServer: func(req balancer.Request) (balancer.Choice, bool) {
 			id := fmt.Sprintf("s%d", len(req.AttemptedServers))
--- a/pkg/steerer/second_test.go
+++ b/pkg/steerer/second_test.go
@@ -192,13 +192,14 @@
 	for name, c := range map[string]struct {
 		method, path string
 		verdict      SecondVerdict
-		stop         bool
+		stop, stale  bool
 	}{
-		"runs once":                    {http.MethodPost, "/book/1", SecondAllowed, false},
-		"host stops":                   {http.MethodGet, "/look/1", SecondAllowed, true},
-		"retry budget is spent":        {http.MethodGet, "/look/1", SecondOverBudget, false},
-		"no other server has a slot":   {http.MethodGet, "/look/1", SecondNoServer, false},
-		"share of second ones is used": {http.MethodGet, "/look/1", SecondOverShare, false},
+		"runs once":                    {http.MethodPost, "/book/1", SecondAllowed, false, false},
+		"host stops":                   {http.MethodGet, "/look/1", SecondAllowed, true, false},
+		"retry budget is spent":        {http.MethodGet, "/look/1", SecondOverBudget, false, false},
+		"no other server has a slot":   {http.MethodGet, "/look/1", SecondNoServer, false, false},
+		"key may be revoked meanwhile": {http.MethodGet, "/look/1", SecondAllowed, false, true},
+		"share of second ones is used": {http.MethodGet, "/look/1", SecondOverShare, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withSockets(t, func(f *socketFixture) {
@@ -213,6 +214,7 @@
 					f.stop.Store(&Stop{LastSend: 1 << 40, EndsAt: 1 << 40})
 				}
 				f.handle = func(_ int32, w http.ResponseWriter, r *http.Request) {
+					f.configStale.Store(c.stale)
 					time.Sleep(3 * minSecondDelay.Duration())
 					answer(w, r)
 				}
