--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -60,8 +60,8 @@
 	stop         atomic.Pointer[Stop]
 	// configStale makes the host refuse keys.
 	configStale atomic.Bool
-	meter        *meter.Meter
-	mu           sync.Mutex
+	meter       *meter.Meter
+	mu          sync.Mutex
 	// finished holds the results of all attempts.
 	finished []balancer.Attempt
 }
