--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"catkindyke/pkg/admitter"
 	"catkindyke/pkg/clock"
 )
 
@@ -135,14 +136,15 @@
 	// for the request that is being placed.
 	statesLoad             bool
 	meanLoad, reportWeight float64
+	admitter               *admitter.Admitter
 }
 
 func newPool(old *pool) *pool {
-	p := &pool{reportWeight: 1, slotsByRegion: make(map[string]float64), slotLossAt: make(map[string]clock.Millis)}
+	p := &pool{reportWeight: 1, slotsByRegion: make(map[string]float64), slotLossAt: make(map[string]clock.Millis), admitter: admitter.New()}
 	if old != nil {
 		p.statesLoad, p.meanLoad = old.statesLoad, old.meanLoad
 		p.shares, p.meanServiceTime, p.shifting, p.standingQueue = old.shares, old.meanServiceTime, old.shifting, old.standingQueue
-		p.baselineSlots, p.slotLossAt = old.baselineSlots, old.slotLossAt
+		p.baselineSlots, p.slotLossAt, p.admitter = old.baselineSlots, old.slotLossAt, old.admitter
 	}
 	return p
 }
