balancer: compare the rest of the servers if the few compared ones may not get a request

While reports are old only the 8 highest-ranked servers of an object are compared, and there was no fallback if this host may send to none of them. If these give no server, all are compared.

TestColdServersAmongFewCompared fails before.

--- a/pkg/balancer/candidate.go
+++ b/pkg/balancer/candidate.go
@@ -41,6 +41,9 @@
 	}
 	if best == nil || (best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)) {
 		best, reason = b.bestCandidate(p.comparedServers(ranked), home, req, seed, c, idleBias, now)
+		if best == nil {
+			best, reason = b.bestCandidate(ranked, home, req, seed, c, idleBias, now)
+		}
 	}
 	return best, home, reason
 }
--- a/pkg/balancer/load.go
+++ b/pkg/balancer/load.go
@@ -137,7 +137,7 @@
 // comparedServers returns the servers that are compared if the preferred ones are late. When
 // reports are old, all hosts take the same servers for the least loaded of all and would send
 // them the requests for all objects, for which these must warm up. So each object then has a
-// few servers of its own, the highest-ranked ones.
+// few servers of its own, the highest-ranked ones. The others follow if none of these may get it.
 func (p *pool) comparedServers(ranked []*server) []*server {
 	if p.reportWeight < minReportWeight {
 		return ranked[:min(len(ranked), maxComparedServers)]
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 
 	"catkindyke/pkg/clock"
@@ -91,6 +92,33 @@
 	})
 }
 
+// While reports are old, few servers are compared. If these may not get the request because they
+// are cold and other hosts send to them, it must go to one of the others and not be refused.
+func TestColdServersAmongFewCompared(t *testing.T) {
+	withBalancer("n", nil, func(b *Balancer) {
+		b.cfg.ColdSenders = 4
+		list := makeServers("n", 126, 4)
+		for i := range list {
+			list[i].ColdUntil = 100 * clock.Second
+		}
+		b.SetServers(list)
+		b.SetLiveHosts(LiveHosts{ByRegion: map[string]int{"n": 30}, RegionIndex: 7, FleetIndex: 7})
+		for i := range 29 {
+			b.SetLoadReport(fmt.Sprint("h", i), LoadReport{Region: "n"}, 100)
+		}
+		b.Tick(900)
+		b.pools["desk"].statesLoad = true
+		for i := range 200 {
+			for _, s := range b.servers {
+				s.coldTokens = 1
+			}
+			if c := b.Choose(request(fmt.Sprint("o", i)), clock.Millis(1000+i)); c.Refused && c.Reason == ReasonCold {
+				t.Fatalf("request %d is refused: %s", i, c.Reason)
+			}
+		}
+	})
+}
+
 // pacesCase is a load on servers that share machines: each half second, another seventh of them
 // is 2.5 times slower. The target is 0.85 of the ideal.
 func pacesCase(size replaySize) replayCase {
