balancer: keep requests that run once off a silent server that alone is warm

A request that runs once was sent to a server at which another request was overdue if that server was the only warm one for its object; it can't be moved later and waited until its time was over.

The other servers were compared only if the estimate of the first ones missed the target latency, and silence is not part of the estimate. They are now compared as well if the best server of a request that runs once is silent.

TestRunOnceAvoidsSilentWarmServer fails before.

--- a/pkg/balancer/candidate.go
+++ b/pkg/balancer/candidate.go
@@ -39,7 +39,8 @@
 		// The server will be as fast as usual before another one has warmed up.
 		idleBias = 1
 	}
-	if best == nil || (best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)) {
+	late := best != nil && best.estimatedLatency > float64(req.TargetLatency) && !p.standingQueue.isStanding(now)
+	if best == nil || late || (!req.Repeatable && best.server.silence.isSilent(now)) {
 		best, reason = b.bestCandidate(p.comparedServers(ranked), home, req, seed, c, idleBias, now)
 		if best == nil {
 			best, reason = b.bestCandidate(ranked, home, req, seed, c, idleBias, now)
--- a/pkg/balancer/silence_test.go
+++ b/pkg/balancer/silence_test.go
@@ -112,6 +112,21 @@
 	})
 }
 
+// The same holds if the silent server is the only one that is warm for the object, and so the
+// only one that is compared at first.
+func TestRunOnceAvoidsSilentWarmServer(t *testing.T) {
+	withBalancer("n", makeServers("n", 8, 4), func(b *Balancer) {
+		warm := send(t, b, "x", 900)
+		sendTo(b, warm, true, 1000)
+		if got := b.Choose(request("x"), 1150).Server.ID; got != warm {
+			t.Errorf("sent to %s while none is overdue, want %s", got, warm)
+		}
+		if got := b.Choose(request("x"), 1350).Server.ID; got == warm {
+			t.Errorf("sent to %s, at which a request is overdue", got)
+		}
+	})
+}
+
 // An attempt that was given up must raise the estimates for its server by the time that it
 // has taken at least, and never lower them.
 func TestSupersededAttemptRaisesSlowdown(t *testing.T) {
