balancer: suspect no servers after a freeze, after very short waits, or a whole region

Servers lost their requests for a health check though they answered: 4 of 8 after a pause of the host of 2 s; after 25 ms if a response was expected within 10 ms; and all 4 servers of a region, so that requests bound to it were refused.

After a pause all waits were overdue before any response was read. A tick that comes more than 300 ms after the last one now moves the times of waits by the excess and suspects none. An attempt is overdue after at least 200 ms, two ticks. The half of the servers that stays in use was counted over all regions; for suspicion it must hold in the server's region as well, so that the only server of a region isn't suspected. Other uses of mayEject are unchanged.

Existing tests of silence ticked once after a second or more, which now counts as a pause. They tick each 100 ms as hosts do, and ask for the same results.

TestFrozenHost (0.5 and 2 s), TestShortPause and TestSuspicionKeepsHalfOfRegion fail without the respective change. The pause of 6 s passed before.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -351,8 +351,14 @@
 	}
 	b.updateReportAge(now)
 	b.holdHostCount(now)
-	elapsed := now - b.lastTick
+	elapsed, lastTick := now-b.lastTick, b.lastTick
 	b.lastTick = now
+	frozen := elapsed > lateTickInterval
+	if frozen {
+		for _, s := range b.servers {
+			s.silence.postpone(elapsed-usualTickInterval, lastTick)
+		}
+	}
 	if elapsed <= 0 || elapsed > maxTickInterval {
 		return
 	}
@@ -361,7 +367,9 @@
 	}
 	for _, s := range b.servers {
 		s.recover(elapsed)
-		b.suspectSilent(s, now)
+		if !frozen {
+			b.suspectSilent(s, now)
+		}
 	}
 	b.purgePlacements(now)
 	b.purgeNotices(now)
--- a/pkg/balancer/silence.go
+++ b/pkg/balancer/silence.go
@@ -11,6 +11,12 @@
 	// suspicionFactor is the multiple of its estimated latency after which an attempt is
 	// overdue.
 	suspicionFactor = 2
+	// minOverdueTime is the shortest time after which an attempt is overdue. It is two ticks, so
+	// that a short pause of the server or of this host says nothing.
+	minOverdueTime clock.Millis = 200
+	// usualTickInterval is the interval between ticks. A host that has not ticked for longer than
+	// lateTickInterval was frozen and has not read the responses that came in between.
+	usualTickInterval, lateTickInterval clock.Millis = 100, 300
 	// suspectedWaits is the number of overdue attempts from which a server is suspected.
 	// One alone is as likely to be long work.
 	suspectedWaits = 2
@@ -56,7 +62,7 @@
 	if !req.Repeatable || c.wait == nil || len(s.waits) >= maxWaits {
 		return
 	}
-	c.wait.sentAt, c.wait.overdueAt = now, now+suspicionFactor*max(1, c.EstimatedLatency)
+	c.wait.sentAt, c.wait.overdueAt = now, now+max(minOverdueTime, suspicionFactor*c.EstimatedLatency)
 	s.waits = append(s.waits, c.wait)
 }
 
@@ -96,15 +102,42 @@
 // isSilent reports whether an attempt is overdue and nothing was heard since it was sent.
 func (s *silence) isSilent(now clock.Millis) bool { return s.suspected || s.overdue(now) > 0 }
 
+// postpone moves the times at which attempts are overdue by a time in which this host did not run.
+// Attempts that had ended before are left.
+func (s *silence) postpone(by, lastTick clock.Millis) {
+	for _, w := range s.waits {
+		if w.endedAt == 0 || w.endedAt > lastTick {
+			w.overdueAt += by
+		}
+	}
+}
+
 // suspectSilent takes a server out of use if it is silent, until it answers a health check.
 func (b *Balancer) suspectSilent(s *server, now clock.Millis) {
-	if s.silence.suspected || now < s.silence.trustedUntil || s.silence.overdue(now) < suspectedWaits || !b.mayEject(s, now) {
+	if s.silence.suspected || now < s.silence.trustedUntil || s.silence.overdue(now) < suspectedWaits || !b.maySuspect(s, now) {
 		return
 	}
 	s.silence.suspected = true
 	b.newlySuspected = append(b.newlySuspected, s.ID)
 }
 
+// maySuspect reports whether a server may be taken out of use for its silence. At least half of
+// the service's servers in its region stay in use as well, because requests may be bound to it
+// and what cuts off a region is no fault of its servers.
+func (b *Balancer) maySuspect(s *server, now clock.Millis) bool {
+	unavailable, all := 1, 0
+	for _, other := range s.pool.servers {
+		if other.Region != s.Region {
+			continue
+		}
+		all++
+		if other != s && other.isUnavailable(now) {
+			unavailable++
+		}
+	}
+	return 2*unavailable <= all && b.mayEject(s, now)
+}
+
 // IsSuspected reports whether a server is suspected to be silent.
 func (b *Balancer) IsSuspected(id string) bool {
 	s := b.servers[id]
