balancer: leave unanswerable requests out of the admission's counts

Patient requests were refused beside an urgent class that can't be answered at any load: 4 of 40 were admitted, 40 of 40 without that class.

Each refusal of the urgent class counted as a lack of capacity, lowered the limits of less urgent classes and extended the standing queue. If the estimate without the wait for a slot already exceeds the time left, the request is now refused without asking the admitter and without counting for the standing queue. A local variable no longer shadows the package admitter.

--- a/pkg/balancer/waiting.go
+++ b/pkg/balancer/waiting.go
@@ -36,20 +36,23 @@
 // excessDelay returns the time by which a request would wait too long at its best
 // server. The request is sent if that is 0.
 func (b *Balancer) excessDelay(req Request, c *class, best *candidate, now clock.Millis) float64 {
-	timelyDelay := maxTimelyQueueDelay(req, c, best)
-	queue := &b.pools[req.Service].standingQueue
-	queue.observe(best.queueDelay > timelyDelay, now)
 	limit := maxQueueDelay(req, best)
 	if c.isRetry(req) {
 		limit *= retryWaitFactor
 	}
-	if queue.isStanding(now) {
+	if best.estimatedLatency-best.queueDelay > maxTimeLeftFactor*float64(req.TimeLeft) {
+		// It can't be answered in time at any load, so that its refusal says nothing of capacity.
+		return excessOver(limit, req, best)
+	}
+	p := b.pools[req.Service]
+	timelyDelay := maxTimelyQueueDelay(req, c, best)
+	p.standingQueue.observe(best.queueDelay > timelyDelay, now)
+	if p.standingQueue.isStanding(now) {
 		limit = math.Min(limit, timelyDelay)
 	}
 	ask := admitter.Request{Priority: req.Priority, Workspace: req.Workspace, Limit: math.Max(0, limit)}
-	admitter := b.pools[req.Service].admitter
-	excess := excessOver(admitter.Limit(ask, now), req, best)
-	admitter.Record(ask, excess == 0, now)
+	excess := excessOver(p.admitter.Limit(ask, now), req, best)
+	p.admitter.Record(ask, excess == 0, now)
 	if excess > 0 && excessOver(ask.Limit, req, best) == 0 {
 		b.putBack++
 	}
