admitter: bound the workspaces whose requests are counted

The counts of workspaces were never removed, so that the memory of a host grew with each workspace that it had seen.

TestWorkspacesAreBounded fails without the bound.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -12,6 +12,7 @@
 package admitter
 
 import (
+	"maps"
 	"math"
 
 	"catkindyke/pkg/clock"
@@ -33,6 +34,10 @@
 	// priorRequests is the number of requests with the mean result that each workspace
 	// counts in addition, so that a few requests decide nothing.
 	priorRequests = 2.0
+	// maxWorkspaces bounds the workspaces whose requests are counted. Those that have not asked
+	// for workspaceTTL make place for others, which are treated alike until then.
+	maxWorkspaces = 1000
+	workspaceTTL  = 3 * countTime
 	// fairGain is the relative change of the limit for each unit by which a workspace's part
 	// differs from the mean. minFair and maxFair bound it.
 	fairGain, minFair, maxFair = 3.0, 0.5, 2.0
@@ -55,6 +60,7 @@
 	all        counts
 	refusedAt  clock.Millis
 	refused    bool
+	purgedAt   clock.Millis
 }
 
 // kind is the requests of one priority.
@@ -135,8 +141,22 @@
 	}
 	w := a.workspaces[req.Workspace]
 	if w == nil {
+		a.purgeWorkspaces(now)
+		if len(a.workspaces) >= maxWorkspaces {
+			return
+		}
 		w = &counts{at: now}
 		a.workspaces[req.Workspace] = w
 	}
 	w.add(admitted, now)
 }
+
+// purgeWorkspaces forgets workspaces that have not asked for a long time. It does so once a
+// second at most, and only if there are many.
+func (a *Admitter) purgeWorkspaces(now clock.Millis) {
+	if len(a.workspaces) < maxWorkspaces || now-a.purgedAt < clock.Second {
+		return
+	}
+	a.purgedAt = now
+	maps.DeleteFunc(a.workspaces, func(_ string, w *counts) bool { return now-w.at > workspaceTTL })
+}
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -81,3 +82,21 @@
 	a.Record(urgent, false, startsAt)
 	assertLimit(t, "first request", a, patient, 800, 800, startsAt)
 }
+
+// A host that runs for long sees many workspaces, and must not keep the counts of all.
+func TestWorkspacesAreBounded(t *testing.T) {
+	a := New()
+	add := func(prefix string, now clock.Millis) {
+		for i := range 2 * maxWorkspaces {
+			a.Record(Request{Workspace: fmt.Sprint(prefix, i)}, true, now)
+		}
+		if got := len(a.workspaces); got > maxWorkspaces {
+			t.Errorf("%d workspaces are kept, want at most %d", got, maxWorkspaces)
+		}
+	}
+	add("a", startsAt)
+	add("b", startsAt+2*workspaceTTL)
+	if a.workspaces["b0"] == nil || a.workspaces["a0"] != nil {
+		t.Error("a new workspace does not take the place of one that no longer asks")
+	}
+}
