--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -1,9 +1,9 @@
-// Package admitter decides who goes first when room is short: how long the requests of one
-// service may wait for a slot, by their urgency and by what their workspace got before. It
-// does no I/O: the caller passes the time and serializes the calls.
+// Package admitter gives requests priority when capacity is short: it decides how long those
+// of one service may wait for a slot, by their urgency and by what their workspace got before.
+// It does no I/O: the caller passes the time and serializes the calls.
 //
 // It answers demand above what the servers can do for seconds: a burst, a workspace with
-// several times its usual load, or half of a zone lost. Without it, kinds of requests that
+// several times its usual load, or half of a zone lost. Without it, classes of requests that
 // may wait long fill the queues, and urgent ones, which may not, are refused. As long as
 // nothing is refused, nothing changes.
 //
@@ -19,15 +19,15 @@
 )
 
 const (
-	// shortTime is the time after a refusal for which room counts as short, and within which
-	// a kind must have asked to be put before others.
+	// shortTime is the time after a refusal for which capacity counts as short, and within which
+	// a class must have asked to be put before others.
 	shortTime = clock.Second
-	// limitWeight is the weight of one request in the limit of its kind.
+	// limitWeight is the weight of one request in the limit of its class.
 	limitWeight = 0.2
-	// kindMargin and kindGain say how far the limit of a less urgent kind is lowered towards
+	// classMargin and classGain say how far the limit of a less urgent class is lowered towards
 	// that of a more urgent one: not at all while the more urgent one is served more often by
-	// kindMargin, and completely if that is missed by 1/kindGain.
-	kindMargin, kindGain = 0.1, 10.0
+	// classMargin, and completely if that is missed by 1/classGain.
+	classMargin, classGain = 0.1, 10.0
 	// countTime is the time constant of the counts. A host gets about one request a second of
 	// a workspace.
 	countTime = 10 * clock.Second
@@ -38,7 +38,7 @@
 	// for workspaceTTL make place for others, which are treated alike until then.
 	maxWorkspaces = 1000
 	workspaceTTL  = 3 * countTime
-	// fairGain is the relative change of the limit for each unit by which a workspace's part
+	// fairGain is the relative change of the limit for each unit by which a workspace's share
 	// differs from the mean. minFair and maxFair bound it.
 	fairGain, minFair, maxFair = 3.0, 0.5, 2.0
 )
@@ -55,7 +55,7 @@
 
 // Admitter holds what one host knows of the requests for one service.
 type Admitter struct {
-	kinds      map[float64]*kind
+	classes    map[float64]*class
 	workspaces map[string]*counts
 	all        counts
 	refusedAt  clock.Millis
@@ -63,8 +63,8 @@
 	purgedAt   clock.Millis
 }
 
-// kind is the requests of one priority.
-type kind struct {
+// class is the requests of one priority.
+type class struct {
 	limit   float64
 	askedAt clock.Millis
 	counts
@@ -76,8 +76,8 @@
 	at              clock.Millis
 }
 
-// part returns the fraction of the requests that were sent.
-func (c *counts) part() float64 { return (c.admitted + priorRequests) / (c.asked + priorRequests) }
+// share returns the fraction of the requests that were sent.
+func (c *counts) share() float64 { return (c.admitted + priorRequests) / (c.asked + priorRequests) }
 
 func (c *counts) add(admitted bool, now clock.Millis) {
 	decay := math.Exp(-float64(now-c.at) / float64(countTime))
@@ -89,30 +89,30 @@
 
 // New returns an admitter that has seen no requests.
 func New() *Admitter {
-	return &Admitter{kinds: make(map[float64]*kind), workspaces: make(map[string]*counts)}
+	return &Admitter{classes: make(map[float64]*class), workspaces: make(map[string]*counts)}
 }
 
 // isShort reports whether requests were refused just now.
 func (a *Admitter) isShort(now clock.Millis) bool { return a.refused && now-a.refusedAt <= shortTime }
 
-// Limit returns the longest wait in ms with which a request is sent. While room is short, it
-// falls to that of a more urgent kind that is not served clearly more often, and differs by
+// Limit returns the longest wait in ms with which a request is sent. While capacity is short, it
+// falls to that of a more urgent class that is not served clearly more often, and differs by
 // what the workspace got before.
 func (a *Admitter) Limit(req Request, now clock.Millis) float64 {
-	k := a.kinds[req.Priority]
-	if k == nil {
-		k = &kind{limit: req.Limit}
-		a.kinds[req.Priority] = k
+	c := a.classes[req.Priority]
+	if c == nil {
+		c = &class{limit: req.Limit}
+		a.classes[req.Priority] = c
 	}
-	k.limit += limitWeight * (req.Limit - k.limit)
-	k.askedAt = now
+	c.limit += limitWeight * (req.Limit - c.limit)
+	c.askedAt = now
 	if !a.isShort(now) {
 		return req.Limit
 	}
 	limit := req.Limit
-	for priority, other := range a.kinds {
+	for priority, other := range a.classes {
 		if priority < req.Priority && now-other.askedAt <= shortTime && other.limit < req.Limit {
-			lead := math.Min(1, math.Max(0, 1+kindGain*(other.part()-k.part()-kindMargin)))
+			lead := math.Min(1, math.Max(0, 1+classGain*(other.share()-c.share()-classMargin)))
 			limit = math.Min(limit, other.limit+lead*(req.Limit-other.limit))
 		}
 	}
@@ -126,8 +126,8 @@
 		return 1
 	}
 	mean := a.all.admitted / a.all.asked
-	part := (w.admitted + priorRequests*mean) / (w.asked + priorRequests)
-	return math.Min(math.Max(1+fairGain*(mean-part), minFair), maxFair)
+	share := (w.admitted + priorRequests*mean) / (w.asked + priorRequests)
+	return math.Min(math.Max(1+fairGain*(mean-share), minFair), maxFair)
 }
 
 // Record records whether a request was sent.
@@ -136,8 +136,8 @@
 		a.refused, a.refusedAt = true, now
 	}
 	a.all.add(admitted, now)
-	if k := a.kinds[req.Priority]; k != nil {
-		k.add(admitted, now)
+	if c := a.classes[req.Priority]; c != nil {
+		c.add(admitted, now)
 	}
 	w := a.workspaces[req.Workspace]
 	if w == nil {
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -55,7 +55,7 @@
 	ask(a, patient, true, 20, startsAt)
 	ask(a, urgent, false, 20, startsAt)
 	assertLimit(t, "urgent ones are refused", a, patient, 40, 100, startsAt)
-	assertLimit(t, "the more urgent kind", a, urgent, 100, 200, startsAt)
+	assertLimit(t, "the more urgent class", a, urgent, 100, 200, startsAt)
 	assertLimit(t, "no urgent ones for 2 s, and nothing refused", a, patient, 800, 800, startsAt+2*clock.Second)
 	ask(a, patient, false, 60, startsAt+2*clock.Second)
 	ask(a, urgent, true, 60, startsAt+2*clock.Second)
@@ -63,7 +63,7 @@
 }
 
 // A workspace that got less than the others must be let wait longer, within bounds.
-func TestEqualParts(t *testing.T) {
+func TestEqualShares(t *testing.T) {
 	a := New()
 	less := urgent
 	less.Workspace = "b"
