balancer: share only statements received at first hand, and keep own requests

After a restart of a server, an empty statement was sent.

LoadsSince sent the newest statement, also one that had come with a report, whose age lacked the delay of that report, so that it came back as a newer one. It now sends what the server stated to this host. A restart clears the statement.

TestPaceOfLiar and TestReplayLyingServers are renamed to tests of wrong statements, unchanged.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -217,7 +217,7 @@
 		if s == nil || s.Address != info.Address || s.Service != info.Service {
 			s = newServer()
 		} else if s.StartUnixMs != info.StartUnixMs {
-			s.stated = observer.Statement{}
+			s.stated, s.received = observer.Statement{}, observer.Load{}
 		}
 		s.Server, s.remoteInFlight, s.notices = info, 0, b.noticesOf(info)
 		servers[info.ID] = s
--- a/pkg/balancer/load.go
+++ b/pkg/balancer/load.go
@@ -60,6 +60,7 @@
 	if !b.observer.Record(&s.stated, l, s.localInFlight, now) {
 		return
 	}
+	s.received, s.receivedAt = s.stated.Load(), now
 	s.pool.statesLoad = true
 	if unexpected {
 		b.loads = append(b.loads, loadStatement{s, now})
@@ -78,15 +79,16 @@
 }
 
 // LoadsSince returns the newest loads of the servers that have stated one to this host since a
-// time that other hosts do not expect.
+// time that other hosts do not expect. What other hosts passed on is left out: the delays of
+// the reports would make it younger each time.
 func (b *Balancer) LoadsSince(since, now clock.Millis) []ServerLoad {
 	var out []ServerLoad
 	b.loadLists++
 	since = max(since, now-observer.MaxSharedAge)
 	for i := len(b.loads) - 1; i >= 0 && b.loads[i].at >= since && len(out) < maxSharedLoads; i-- {
-		if s := b.loads[i].server; s.loadList != b.loadLists && b.servers[s.ID] == s {
+		if s := b.loads[i].server; s.loadList != b.loadLists && b.servers[s.ID] == s && s.received.IsStated() {
 			s.loadList = b.loadLists
-			out = append(out, ServerLoad{Server: s.ID, StartCheck: s.startCheck(), Load: s.stated.Load(), Age: now - s.stated.At()})
+			out = append(out, ServerLoad{Server: s.ID, StartCheck: s.startCheck(), Load: s.received, Age: now - s.receivedAt})
 		}
 	}
 	return out
@@ -97,11 +99,37 @@
 	for _, l := range list {
 		if s := b.servers[l.Server]; s != nil && s.startCheck() == l.StartCheck && l.Age <= 2*observer.MaxSharedAge {
 			l.Slots = s.Slots
-			b.observer.Record(&s.stated, l.Load, s.localInFlight, now-l.Age)
+			b.observer.Record(&s.stated, l.Load, s.localInFlightAt(now-l.Age), now-l.Age)
 		}
 	}
 }
 
+// inFlightChange is the start (1) or end (-1) of a request of this host at a server.
+type inFlightChange struct {
+	at    clock.Millis
+	delta int
+}
+
+// changeLocalInFlight counts the start or end of a request. Changes are kept for as long as the
+// number of requests in a statement is used.
+func (s *server) changeLocalInFlight(delta int, now clock.Millis) {
+	s.localInFlight = max(0, s.localInFlight+delta)
+	old := 0
+	for old < len(s.changes) && now-s.changes[old].at > observer.MaxLoadAge {
+		old++
+	}
+	s.changes = append(s.changes[old:], inFlightChange{now, delta})
+}
+
+// localInFlightAt returns the number of this host's requests at the server at a recent time.
+func (s *server) localInFlightAt(at clock.Millis) int {
+	n := s.localInFlight
+	for i := len(s.changes) - 1; i >= 0 && s.changes[i].at > at; i-- {
+		n -= s.changes[i].delta
+	}
+	return max(0, n)
+}
+
 // PaceHold returns the time constant in ms with which unusual paces end.
 func (b *Balancer) PaceHold() float64 { return b.observer.PaceHold() }
 
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -92,6 +92,41 @@
 	})
 }
 
+// A statement that comes back from another host must not count as a newer one, nor hide the
+// requests that this host has sent since it was made.
+func TestSharedLoadsKeepOwnRequests(t *testing.T) {
+	withLoads(t, func(t *testing.T, a *Balancer, sa *server) {
+		withLoads(t, func(t *testing.T, other *Balancer, _ *server) {
+			other.RecordLoad("a", observer.Load{Running: 4, Waiting: 1, Slots: 4}, 980)
+			a.RecordLoad("a", observer.Load{Running: 1, Waiting: 1, Slots: 4}, 1000)
+			other.ApplyLoads(a.LoadsSince(0, 1000), 1010)
+			for range 3 {
+				a.StartAttempt(Choice{Server: sa.Server}, Request{}, 1015)
+			}
+			if shared := other.LoadsSince(0, 1010); len(shared) != 1 || shared[0].Age != 30 || shared[0].Running != 4 {
+				t.Errorf("shared %+v, want only what the server stated to this host", shared)
+			}
+			a.ApplyLoads(other.LoadsSince(0, 1010), 1020)
+			assertInFlight(t, a, sa, 1020, 5)
+			a.ApplyLoads([]ServerLoad{{Server: "a", StartCheck: 7, Load: observer.Load{Running: 2, Waiting: 1}, Age: 10}}, 1020)
+			assertInFlight(t, a, sa, 1020, 6)
+			finish(a, Choice{Server: sa.Server}, Abandoned, 10, 1025)
+			assertInFlight(t, a, sa, 1025, 5)
+		})
+	})
+}
+
+// After a restart of a server, its former statement must not be shared, nor an empty one.
+func TestSharedLoadsAfterRestart(t *testing.T) {
+	withLoads(t, func(t *testing.T, b *Balancer, _ *server) {
+		b.RecordLoad("a", observer.Load{Running: 1, Slots: 4, Pace: 3}, 1000)
+		b.SetServers([]Server{{ID: "a", Service: "desk", Region: "n", Slots: 4, StartUnixMs: 8}})
+		if shared := b.LoadsSince(0, 1010); len(shared) != 0 {
+			t.Errorf("shared %+v, want nothing", shared)
+		}
+	})
+}
+
 // While reports are old, few servers are compared. If these may not get the request because they
 // are cold and other hosts send to them, it must go to one of the others and not be refused.
 func TestColdServersAmongFewCompared(t *testing.T) {
@@ -136,18 +171,18 @@
 
 func TestReplayPaces(t *testing.T) { pacesCase(small).run(t) }
 
-// A tenth of the servers lies: some say that they are idle and fast, others that they are full
+// A tenth of the servers states a wrong load: some say that they are idle and fast, others that they are full
 // and slow. The target is 0.85 of the ideal.
-func TestReplayLyingServers(t *testing.T) {
+func TestReplayWrongStatements(t *testing.T) {
 	for fleet, size := range map[string]replaySize{"small": small, "large": large} {
 		load := func(string, clock.Millis) float64 { return 1.3 * size.baseRate }
 		t.Run(fleet, replayCase{fleet, size, load, func(r *replay) {
 			r.changeServers(burstStart, func(i int, info Server, s *replayServer) {
 				switch i % 20 {
 				case 0:
-					s.lie = observer.Load{Slots: info.Slots, Pace: 0.3}
+					s.wrongLoad = observer.Load{Slots: info.Slots, Pace: 0.3}
 				case 10:
-					s.lie = observer.Load{Running: info.Slots, Waiting: 1000, Slots: info.Slots, Pace: 8}
+					s.wrongLoad = observer.Load{Running: info.Slots, Waiting: 1000, Slots: info.Slots, Pace: 8}
 				}
 			})
 		}, 0.85}.run)
--- a/pkg/balancer/replay_model_test.go
+++ b/pkg/balancer/replay_model_test.go
@@ -70,16 +70,16 @@
 	slowdown      float64
 	// shedding servers refuse all requests; removed servers have left the fleet.
 	shedding, removed bool
-	// lie is the load that the server states instead of its own, if it is set.
-	lie observer.Load
+	// wrongLoad is the load that the server states instead of its own, if it is set.
+	wrongLoad observer.Load
 	// notice is what the server says in its responses. One that backs off sheds.
 	notice Notice
 }
 
 // load returns what the server says of its load.
 func (s *replayServer) load(slots int) observer.Load {
-	if s.lie.IsStated() {
-		return s.lie
+	if s.wrongLoad.IsStated() {
+		return s.wrongLoad
 	}
 	return observer.Load{Running: s.running, Waiting: len(s.queue), Slots: slots, Pace: s.slowdown}
 }
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -57,6 +57,11 @@
 	pool          *pool
 	// stated is what the server last said of its load.
 	stated observer.Statement
+	// received is the load that the server last stated to this host itself, at receivedAt.
+	received   observer.Load
+	receivedAt clock.Millis
+	// changes are the recent changes of localInFlight, in order of time.
+	changes []inFlightChange
 	// loadList is the last call of LoadsSince that returned the server's load.
 	loadList uint64
 }
@@ -143,7 +148,7 @@
 	if s == nil {
 		return false
 	}
-	s.localInFlight++
+	s.changeLocalInFlight(1, now)
 	s.silence.start(c, req, now)
 	if s.isCold(now) {
 		s.coldTokens--
@@ -186,7 +191,7 @@
 		// The server still counted the request that it answered.
 		a.Load.Running = max(0, a.Load.Running-1)
 	}
-	s.localInFlight = max(0, s.localInFlight-1)
+	s.changeLocalInFlight(-1, now)
 	s.silence.end(a, now)
 	if a.Notice != nil {
 		noticeChanged = s.notices.record(*a.Notice, now)
--- a/pkg/observer/observer_test.go
+++ b/pkg/observer/observer_test.go
@@ -61,7 +61,7 @@
 
 // A server that always states a wrong pace is corrected by the times of its responses, which
 // are measured with the same weight.
-func TestPaceOfLiar(t *testing.T) {
+func TestPaceOfWrongStatements(t *testing.T) {
 	o, s, slowdown := New(), &Statement{}, 1.0
 	for now := range clock.Millis(20) {
 		o.Record(s, Load{Slots: 1, Pace: 8}, 0, now)
