balancer: count a pace once when an attempt is superseded

A server that states a pace of 3 and is three times slower was expected to be 6.1 times slower after ten attempts for which a second one had answered.

observeSuperseded raised the measured slowdown without the mean pace relative to which stated paces count. It now updates both, and only if the attempt has taken longer than the slowdown and the pace at its start say, so that estimates never fall.

TestSupersededAttemptsAndPace fails before.

--- a/pkg/balancer/silence.go
+++ b/pkg/balancer/silence.go
@@ -159,5 +159,9 @@
 		return
 	}
 	ratio := math.Min((float64(a.Duration)-b.rtt(s.Region))/c.warmServiceTime, maxSlowdown)
-	s.slowdown += slowdownWeight * math.Max(0, ratio-s.slowdown)
+	if ratio <= s.slowdown*a.Choice.Pace {
+		return
+	}
+	s.slowdown += slowdownWeight * (ratio - s.slowdown)
+	s.stated.ObservePace(a.Choice.Pace, slowdownWeight)
 }
--- a/pkg/balancer/silence_test.go
+++ b/pkg/balancer/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/observer"
 )
 
 // sendTo starts a request at a server that is expected to answer within 100 ms.
@@ -223,6 +224,30 @@
 	})
 }
 
+// A server that states its pace must not count as slow twice, by its pace and by the attempts
+// that were given up because of it.
+func TestSupersededAttemptsAndPace(t *testing.T) {
+	for _, result := range []Result{Answered, Superseded} {
+		t.Run(result.String(), func(t *testing.T) {
+			withBalancer("n", makeServers("n", 1, 4), func(b *Balancer) {
+				s, now := b.servers["n0"], clock.Millis(1000)
+				for range 10 {
+					b.RecordLoad("n0", observer.Load{Running: 1, Slots: 4, Pace: 3}, now)
+					c := b.Choose(request(""), now)
+					took := clock.Millis(3*b.classes["look"].warmServiceTime) + 2
+					b.StartAttempt(c, request(""), now)
+					now += took
+					b.FinishAttempt(Attempt{Choice: c, Class: "look", KnownWarm: true, Result: result, Duration: took}, now)
+				}
+				b.RecordLoad("n0", observer.Load{Running: 1, Slots: 4, Pace: 3}, now)
+				if got := b.currentSlowdown(s, now); got < 2.7 || got > 3.4 {
+					t.Errorf("expected to be %.2f times slower, want 3", got)
+				}
+			})
+		})
+	}
+}
+
 // A second attempt must not push others back, nor warm up a server, nor start if it can't be
 // answered in time.
 func TestSecondTakesOnlySpareRoom(t *testing.T) {
