--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -54,7 +55,7 @@
 	ask(a, patient, true, 20, startsAt)
 	ask(a, urgent, false, 20, startsAt)
 	assertLimit(t, "urgent ones are refused", a, patient, 40, 100, startsAt)
-	assertLimit(t, "the more urgent kind", a, urgent, 100, 200, startsAt)
+	assertLimit(t, "the more urgent class", a, urgent, 100, 200, startsAt)
 	assertLimit(t, "no urgent ones for 2 s, and nothing refused", a, patient, 800, 800, startsAt+2*clock.Second)
 	ask(a, patient, false, 60, startsAt+2*clock.Second)
 	ask(a, urgent, true, 60, startsAt+2*clock.Second)
@@ -62,7 +63,7 @@
 }
 
 // A workspace that got less than the others must be let wait longer, within bounds.
-func TestEqualParts(t *testing.T) {
+func TestEqualShares(t *testing.T) {
 	a := New()
 	less := urgent
 	less.Workspace = "b"
@@ -81,3 +82,21 @@
 	a.Record(urgent, false, startsAt)
 	assertLimit(t, "first request", a, patient, 800, 800, startsAt)
 }
+
+// A host that runs for long sees many workspaces, and must not keep the counts of all.
+func TestWorkspacesAreBounded(t *testing.T) {
+	a := New()
+	add := func(prefix string, now clock.Millis) {
+		for i := range 2 * maxWorkspaces {
+			a.Record(Request{Workspace: fmt.Sprint(prefix, i)}, true, now)
+		}
+		if got := len(a.workspaces); got > maxWorkspaces {
+			t.Errorf("%d workspaces are kept, want at most %d", got, maxWorkspaces)
+		}
+	}
+	add("a", startsAt)
+	add("b", startsAt+2*workspaceTTL)
+	if a.workspaces["b0"] == nil || a.workspaces["a0"] != nil {
+		t.Error("a new workspace does not take the place of one that no longer asks")
+	}
+}
