steerer: close the streams of responses that are not passed on

Callers could see nothing at first. A failed, shed or misdirected response of more than 64 kB whose request another attempt answered held its connection to the server until the server ended it.

Cause: forward dropped such responses without closing their streams, and the race of two attempts closed only one that had a usable response.

Change: forward closes each response that it does not return, also on a panic.

Test: each kind of unusable response, with a retry after it and with another attempt beside it; the server sees the end.

--- a/pkg/steerer/second.go
+++ b/pkg/steerer/second.go
@@ -216,9 +216,7 @@
 		return
 	}
 	if r.winner != nil {
-		if a.resp.Stream != nil {
-			_ = a.resp.Stream.Close()
-		}
+		closeStream(a.resp)
 		return
 	}
 	r.winner = a
--- a/pkg/steerer/second_test.go
+++ b/pkg/steerer/second_test.go
@@ -240,3 +240,58 @@
 		f.assertResults(t, balancer.Answered)
 	})
 }
+
+// streamUnusable sends an unusable response that is too large to be held in memory, and
+// reports the end of its connection on a channel.
+func streamUnusable(status int, header string, ended chan<- struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if header != "" {
+			w.Header().Set(header, "1")
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write(make([]byte, 100<<10))
+		_ = http.NewResponseController(w).Flush()
+		stall(ended)(w, r)
+	}
+}
+
+// A response that is not passed on must not hold its connection to the server.
+func TestUnusedStreamsAreClosed(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header string
+	}{
+		"failed": {500, ""}, "shed": {503, headers.NotExecuted}, "other server": {421, ""},
+	} {
+		t.Run(name+" and retried", func(t *testing.T) {
+			withSockets(t, func(f *socketFixture) {
+				ended := make(chan struct{}, 1)
+				f.handle = inOrder(streamUnusable(c.status, c.header, ended), answer)
+				conn := f.send(t, http.MethodGet, "/look/1")
+				defer conn.Close()
+				readStatus(t, conn)
+				assertSignal(t, "the end of the unusable response", ended)
+			})
+		})
+		t.Run(name+" beside another attempt", func(t *testing.T) {
+			withSockets(t, func(f *socketFixture) {
+				ended, secondArrived := make(chan struct{}, 1), make(chan struct{})
+				f.secondDelay = minSecondDelay
+				f.handle = inOrder(func(w http.ResponseWriter, r *http.Request) {
+					<-secondArrived
+					streamUnusable(c.status, c.header, ended)(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) {
+					close(secondArrived)
+					for len(f.results()) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					answer(w, r)
+				})
+				conn := f.send(t, http.MethodGet, "/look/1")
+				defer conn.Close()
+				readStatus(t, conn)
+				assertSignal(t, "the end of the unusable response", ended)
+			})
+		})
+	}
+}
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -384,8 +384,13 @@
 
 // forward sends the request to one server after another until one responds or no
 // further attempt is allowed.
-func (s *Steerer) forward(ctx context.Context, c *call) (*courier.Response, *refusal) {
+func (s *Steerer) forward(ctx context.Context, c *call) (resp *courier.Response, ref *refusal) {
 	var lastFailure *courier.Response
+	defer func() {
+		if lastFailure != resp {
+			closeStream(lastFailure)
+		}
+	}()
 	for {
 		if ref := s.chooseServer(c); ref != nil {
 			if lastFailure != nil {
@@ -396,8 +401,12 @@
 		attempts := s.runAttempts(ctx, c)
 		for _, a := range attempts {
 			c.countAttempt(a)
-			if a.resp != nil && a.result == balancer.Failed {
+			switch a.result {
+			case balancer.Failed:
+				closeStream(lastFailure)
 				lastFailure = a.resp
+			case balancer.Shed, balancer.Unreachable:
+				closeStream(a.resp)
 			}
 		}
 		a := attempts[len(attempts)-1]
@@ -429,6 +438,14 @@
 	}
 }
 
+// closeStream gives up the rest of a response that is not passed on, and the connection that
+// it holds.
+func closeStream(resp *courier.Response) {
+	if resp != nil && resp.Stream != nil {
+		_ = resp.Stream.Close()
+	}
+}
+
 // countAttempt adds a finished attempt to what is known of the request.
 func (c *call) countAttempt(a *attempt) {
 	c.attemptedServers = append(c.attemptedServers, a.choice.Server.ID)
