hoster: asks for second attempts do not count in the admission

Callers could get refusals with reason busy while a server was silent, though the other servers had room for them.

Cause: for a request at a suspected server, each ask for a second attempt ran the decision on new requests. It observed the wait of the best server, which 30 asks of one request turned into a standing queue, and counted in the admission.

Evidence: TestAskingAgainIsNoQueue is refused without the change.

Change: every second attempt is decided on as such, so that none is recorded. A suspected server changes the share, which does not bind, and the part of the retry budget. The second server must be warm for the object and have a free slot then too, as docs/design/second_attempts.md says; before, requests at a suspected server could also go to a server that must warm up. The budget is checked before the placement decision, and taken from after it.

--- a/pkg/hoster/second.go
+++ b/pkg/hoster/second.go
@@ -33,8 +33,18 @@
 	if !suspected && !h.hedger.Allows() {
 		return steerer.SecondChoice{Verdict: steerer.SecondOverShare}
 	}
+	h.retryBudget.SetHosts(h.sharingHosts())
+	has, allow := h.retryBudget.HasSecond, h.retryBudget.AllowSecond
+	if suspected {
+		has, allow = h.retryBudget.Has, h.retryBudget.Allow
+	}
+	if !has(req.Service) {
+		return steerer.SecondChoice{Verdict: steerer.SecondOverBudget}
+	}
 	now := h.cfg.Clock.Now()
-	req.Second = !suspected
+	// The request was admitted with its first attempt. Asking for a second one, which happens
+	// again and again, must count neither in the admission nor as a wait.
+	req.Second = true
 	c := h.balancer.Choose(req, now)
 	if c.Refused {
 		return steerer.SecondChoice{Verdict: steerer.SecondNoServer}
@@ -42,11 +52,6 @@
 	if delay := h.secondPutOff(req, first, c, waited); !suspected && delay > secondStep {
 		return steerer.SecondChoice{Verdict: steerer.SecondLater, RetryIn: delay}
 	}
-	h.retryBudget.SetHosts(h.sharingHosts())
-	allow := h.retryBudget.AllowSecond
-	if suspected {
-		allow = h.retryBudget.Allow
-	}
 	if !allow(req.Service).Allowed {
 		return steerer.SecondChoice{Verdict: steerer.SecondOverBudget}
 	}
--- a/pkg/hoster/second_test.go
+++ b/pkg/hoster/second_test.go
@@ -85,6 +85,33 @@
 	})
 }
 
+// Requests that wait at a silent server and ask again and again must not pass for a standing
+// queue, in which other requests are refused.
+func TestAskingAgainIsNoQueue(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		f.countRequests(100)
+		f.balancer.Tick(0)
+		for f.inFlightAt(f.first.Server.ID) < 2 {
+			f.chooseServer(balancer.Request{Service: "desk", Class: "look", TargetLatency: 200, TimeLeft: 2000, Repeatable: true})
+		}
+		f.clock.Advance(clock.Second)
+		f.balancer.Tick(f.clock.Clock().Now())
+		for {
+			if c, _ := f.chooseServer(f.req); c.Refused || c.EstimatedLatency > 600 {
+				break
+			}
+		}
+		f.clock.Advance(clock.Second)
+		for range 30 {
+			f.chooseSecond(f.req, f.first, f.waited)
+			f.clock.Advance(50)
+		}
+		if c, _ := f.chooseServer(f.req); c.Refused {
+			t.Errorf("request refused with reason %q after 30 asks for a second attempt", c.Reason)
+		}
+	})
+}
+
 func (f *secondFixture) inFlightAt(id string) int { return f.balancer.InFlight()[id] }
 
 // A second attempt must wait until nearly all requests of its kind would be answered, unless
--- a/pkg/rationer/retries.go
+++ b/pkg/rationer/retries.go
@@ -67,7 +67,7 @@
 
 // Allow takes one retry from this host's part of the budget if one is left.
 func (r *RetryBudget) Allow(service string) RetryDecision {
-	left := math.Min(r.tokens[service], r.capacity())
+	left := r.left(service)
 	d := RetryDecision{Allowed: left >= 1, Left: left, Hosts: r.hosts}
 	if d.Allowed {
 		r.tokens[service] = left - 1
@@ -82,13 +82,25 @@
 // AllowSecond takes one from the budget for a second attempt beside one that is only slow,
 // if enough is left for retries after failures.
 func (r *RetryBudget) AllowSecond(service string) RetryDecision {
-	left := math.Min(r.tokens[service], r.capacity())
-	if left-1 < secondReserve*r.capacity() {
-		return RetryDecision{Left: left, Hosts: r.hosts}
+	if !r.HasSecond(service) {
+		return RetryDecision{Left: r.left(service), Hosts: r.hosts}
 	}
 	return r.Allow(service)
 }
 
+// Has reports whether Allow would allow a retry, and HasSecond whether AllowSecond would allow
+// a second attempt. They take nothing from the budget.
+func (r *RetryBudget) Has(service string) bool { return r.left(service) >= 1 }
+
+// HasSecond is described at Has.
+func (r *RetryBudget) HasSecond(service string) bool {
+	return r.left(service)-1 >= secondReserve*r.capacity()
+}
+
+func (r *RetryBudget) left(service string) float64 {
+	return math.Min(r.tokens[service], r.capacity())
+}
+
 // capacity returns the number of tokens that a bucket holds: one at least, since a retry
 // takes a whole one.
 func (r *RetryBudget) capacity() float64 {
