steerer: bound the asks for a second attempt, and ask again after a late timer

Callers could see longer responses on a busy host, and second attempts for requests whose response had already arrived.

Cause: the time between two asks was halved each time, down to 50 ms, and each ask took a placement decision under the lock of the host. After a stop of the process, expired timers ran before responses in the socket buffers were read.

Change: a request asks again after half of its first delay, three times, and three more times once the server of its first attempt is suspected, which is checked without a placement decision. A standing queue, like an empty budget or share, is checked before it. A timer that fires 50 ms late or more is set again for 50 ms.

--- a/pkg/balancer/waiting.go
+++ b/pkg/balancer/waiting.go
@@ -113,6 +113,12 @@
 	return q.lastLongDelay > 0 && now-q.lastLongDelay <= standingQueueReset && q.lastLongDelay-q.firstLongDelay >= standingQueueTime
 }
 
+// HasStandingQueue reports whether requests for a service constantly wait too long.
+func (b *Balancer) HasStandingQueue(service string, now clock.Millis) bool {
+	p := b.pools[service]
+	return p != nil && p.standingQueue.isStanding(now)
+}
+
 func clampRetryAfter(ms float64) clock.Millis {
 	return min(max(clock.Millis(math.Ceil(ms)), minRetryAfter), maxRetryAfter)
 }
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -249,7 +249,7 @@
 	h.steerer = steerer.New(steerer.Config{
 		Headers: cfg.Headers, Catalog: h.catalog.Load, ConfigFresh: h.configFresh, Admit: h.admit,
 		ChooseServer: h.chooseServer, RecordAttempt: h.finishAttempt, CountRequest: h.countRequest, AllowRetry: h.allowRetry,
-		SecondDelay: h.secondDelay, ChooseSecond: h.chooseSecond,
+		SecondDelay: h.secondDelay, ChooseSecond: h.chooseSecond, IsSuspected: h.isSuspected,
 		Send: h.courier.Send, SplitPoint: h.nextSplitPoint, CallerLeft: screener.HasDisconnected, ResetOnClose: screener.ResetOnClose, Stop: h.stop.Load, Clock: cfg.Clock, Meter: cfg.Meter,
 		Log: logger.RateLimited(cfg.Log, func() { cfg.Meter.Add("log_lines_left_out", 1) }),
 	})
--- a/pkg/hoster/second.go
+++ b/pkg/hoster/second.go
@@ -33,6 +33,10 @@
 	if !suspected && !h.hedger.Allows() {
 		return steerer.SecondChoice{Verdict: steerer.SecondOverShare}
 	}
+	now := h.cfg.Clock.Now()
+	if h.balancer.HasStandingQueue(req.Service, now) {
+		return steerer.SecondChoice{Verdict: steerer.SecondNoServer}
+	}
 	h.retryBudget.SetHosts(h.sharingHosts())
 	has, allow := h.retryBudget.HasSecond, h.retryBudget.AllowSecond
 	if suspected {
@@ -41,7 +45,6 @@
 	if !has(req.Service) {
 		return steerer.SecondChoice{Verdict: steerer.SecondOverBudget}
 	}
-	now := h.cfg.Clock.Now()
 	// The request was admitted with its first attempt. Asking for a second one, which happens
 	// again and again, must count neither in the admission nor as a wait.
 	req.Second = true
@@ -63,6 +66,13 @@
 	}
 }
 
+// isSuspected reports whether a server is suspected to be silent.
+func (h *Host) isSuspected(server string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.balancer.IsSuspected(server)
+}
+
 // secondPutOff returns the time for which a second attempt is put off: until its usual
 // delay, or the last moment at which it can still be answered in time.
 func (h *Host) secondPutOff(req balancer.Request, first, second balancer.Choice, waited clock.Millis) clock.Millis {
--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -58,6 +58,8 @@
 	secondDelay  clock.Millis
 	chooseSecond func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice
 	stop         atomic.Pointer[Stop]
+	// suspected makes the servers count as silent.
+	suspected atomic.Bool
 	// configStale makes the host refuse keys.
 	configStale atomic.Bool
 	meter       *meter.Meter
@@ -108,7 +110,7 @@
 		AllowRetry: func(string) rationer.RetryDecision { return rationer.RetryDecision{Allowed: true} }, SecondDelay: func(string, balancer.Choice) clock.Millis { return f.secondDelay },
 		ChooseSecond: func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice {
 			return f.chooseSecond(req, first, waited)
-		}, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
+		}, IsSuspected: func(string) bool { return f.suspected.Load() }, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
 		CallerLeft: screener.HasDisconnected, ResetOnClose: screener.ResetOnClose, Stop: f.stop.Load, Clock: clock.New(), Log: zerolog.Nop(), Meter: f.meter,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/steerer/second.go
+++ b/pkg/steerer/second.go
@@ -46,9 +46,14 @@
 	Suspected bool
 }
 
-// minSecondDelay keeps a request whose second attempt was not allowed from asking all the
-// time.
-const minSecondDelay clock.Millis = 50
+const (
+	// minSecondDelay keeps a request whose second attempt was not allowed from asking all the
+	// time.
+	minSecondDelay clock.Millis = 50
+	// maxAsks is the number of times that a request asks for a second attempt, and again once
+	// the server of its first one is suspected. Each takes a placement decision.
+	maxAsks = 3
+)
 
 // attempt is one attempt at a server.
 type attempt struct {
@@ -93,6 +98,7 @@
 	first.ctx, first.cancel = context.WithCancelCause(ctx)
 	r := &race{s: s, c: c, ctx: ctx, first: first, start: s.cfg.Clock.Now(), secondEnded: make(chan struct{})}
 	r.delay = max(minSecondDelay, s.cfg.SecondDelay(c.route.Name, first.choice))
+	r.nextDelay = max(minSecondDelay, r.delay/2)
 	r.arm()
 	defer r.stop()
 	c.inFlight = false
@@ -112,11 +118,16 @@
 	start clock.Millis
 	// delay is the time until the next decision on a second attempt.
 	delay clock.Millis
+	// nextDelay is the time from one decision to the next.
+	nextDelay clock.Millis
 	// secondEnded is closed when the second attempt has ended.
 	secondEnded chan struct{}
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// dueAt is the time at which the timer should fire, and asks the number of decisions.
+	dueAt clock.Millis
+	asks  int
 	// closed is set once no second attempt may start.
 	closed bool
 	second *attempt
@@ -131,6 +142,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.closed {
+		r.dueAt = r.s.cfg.Clock.Now() + r.delay
 		r.timer = time.AfterFunc(r.delay.Duration(), r.runSecond)
 	}
 }
@@ -175,7 +187,15 @@
 	s, c := r.s, r.c
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.delay = max(minSecondDelay, r.delay/2)
+	if s.cfg.Clock.Now()-r.dueAt >= minSecondDelay {
+		// The process was stopped or starved, and responses that have arrived may be unread.
+		r.delay = minSecondDelay
+		return false
+	}
+	r.delay = r.nextDelay
+	if !r.mayAsk() {
+		return false
+	}
 	if r.closed || s.cfg.Stop() != nil || r.ctx.Err() != nil || s.cfg.CallerLeft(c.r.Context()) || s.recheckKey(c) != nil {
 		return false
 	}
@@ -185,6 +205,7 @@
 	}
 	req := s.balancerRequest(c, timeLeft)
 	req.AttemptedServers = append(slices.Clone(c.attemptedServers), r.first.choice.Server.ID)
+	r.asks++
 	d := s.cfg.ChooseSecond(req, r.first.choice, s.cfg.Clock.Now()-r.start)
 	if d.Verdict == SecondLater {
 		r.delay = d.RetryIn
@@ -202,6 +223,11 @@
 	return true
 }
 
+// mayAsk reports whether the request may ask for a second attempt once more.
+func (r *race) mayAsk() bool {
+	return r.asks < maxAsks || r.asks < 2*maxAsks && r.s.cfg.IsSuspected(r.first.choice.Server.ID)
+}
+
 // end records that an attempt has ended. The first one with a usable response wins, and
 // the other one is canceled.
 func (r *race) end(a *attempt) {
--- a/pkg/steerer/second_test.go
+++ b/pkg/steerer/second_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -227,6 +228,48 @@
 	}
 }
 
+// Requests that wait long must not ask for a second attempt all the time: each decision takes
+// the lock of the host. A server that is suspected only later must still be left.
+func TestAsksForSecondAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		suspected bool
+		want      int32
+	}{"slow server": {false, maxAsks}, "suspected server": {true, 2 * maxAsks}} {
+		t.Run(name, func(t *testing.T) {
+			withSockets(t, func(f *socketFixture) {
+				var asks atomic.Int32
+				f.secondDelay = minSecondDelay
+				f.suspected.Store(c.suspected)
+				f.chooseSecond = func(balancer.Request, balancer.Choice, clock.Millis) SecondChoice {
+					asks.Add(1)
+					return SecondChoice{Verdict: SecondNoServer}
+				}
+				f.handle = func(_ int32, w http.ResponseWriter, r *http.Request) {
+					time.Sleep(12 * minSecondDelay.Duration())
+					answer(w, r)
+				}
+				conn := f.send(t, http.MethodGet, "/look/1")
+				defer conn.Close()
+				readStatus(t, conn)
+				if asks.Load() != c.want {
+					t.Errorf("%d asks for a second attempt, want %d", asks.Load(), c.want)
+				}
+			})
+		})
+	}
+}
+
+// After a stop of the process, responses that have arrived must be read before requests go to
+// a second server.
+func TestLateTimerAsksAgain(t *testing.T) {
+	manual := &clock.Manual{}
+	r := &race{s: New(Config{Clock: manual.Clock()}), dueAt: 100}
+	manual.Advance(100 + clock.Second)
+	if r.startSecond() || r.delay != minSecondDelay {
+		t.Errorf("a second attempt starts or is decided on in %d ms, want a decision in %d ms", r.delay, minSecondDelay)
+	}
+}
+
 // A second attempt that panics ends by itself; its goroutine is not one of net/http's.
 func TestSecondAttemptPanics(t *testing.T) {
 	withSockets(t, func(f *socketFixture) {
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -104,6 +104,8 @@
 	// from the budget and counts it as in flight, or says why there is none. waited is the
 	// time since the first one began.
 	ChooseSecond func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice
+	// IsSuspected reports whether a server is suspected to be silent.
+	IsSuspected func(server string) bool
 	// Send sends a request to a server.
 	Send func(ctx context.Context, target courier.Target, req *courier.Request) (*courier.Response, error)
 	// SplitPoint returns a number in [0, 1) that selects a service of a weighted split.
