steerer: end both attempts of a request when one panics

Callers could see a host that sent fewer requests to a server than it could take, or a cut response instead of one that had arrived.

Cause: a second attempt that panicked before it was sent stayed in flight for ever; a panic after its end replaced its result and counted it twice. When the first attempt panicked, the body was released while the second one could still send it, and a streamed response of the second one was never closed.

Evidence: the three new tests fail without the change: no attempt is recorded as abandoned, two attempts end, and the server sees no end within 2 s.

Change: recoverSecond records the attempt unless it is recorded, and leaves one that has ended. When the first attempt panics, the second one is canceled, its end is awaited and its stream is closed. That the body is still held until then has no test of its own.

Test: go test -race ./pkg/steerer.

--- a/pkg/steerer/disconnect_test.go
+++ b/pkg/steerer/disconnect_test.go
@@ -60,6 +60,9 @@
 	stop         atomic.Pointer[Stop]
 	// suspected makes the servers count as silent.
 	suspected atomic.Bool
+	// onLog gets the names of log events, and onRecord the attempts that have ended.
+	onLog    func(event string)
+	onRecord func(a balancer.Attempt)
 	// configStale makes the host refuse keys.
 	configStale atomic.Bool
 	meter       *meter.Meter
@@ -72,6 +75,8 @@
 	t.Helper()
 	f := &socketFixture{arrived: make(chan string, 100), secondDelay: 10 * clock.Second, meter: meter.New()}
 	f.handle = func(_ int32, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+	f.onLog, f.onRecord = func(string) {}, func(balancer.Attempt) {}
+	log := zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, event string) { f.onLog(event) }))
 	f.dial = func(_ int32, open func() (net.Conn, error)) (net.Conn, error) { return open() }
 	var arrivals, dials atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -105,13 +110,14 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.finished = append(f.finished, a)
+			f.onRecord(a)
 			return false
 		}, CountRequest: func(string) {},
 		AllowRetry: func(string) rationer.RetryDecision { return rationer.RetryDecision{Allowed: true} }, SecondDelay: func(string, balancer.Choice) clock.Millis { return f.secondDelay },
 		ChooseSecond: func(req balancer.Request, first balancer.Choice, waited clock.Millis) SecondChoice {
 			return f.chooseSecond(req, first, waited)
 		}, IsSuspected: func(string) bool { return f.suspected.Load() }, Send: courier.Send, SplitPoint: func(string) float64 { return 0 },
-		CallerLeft: screener.HasDisconnected, ResetOnClose: screener.ResetOnClose, Stop: f.stop.Load, Clock: clock.New(), Log: zerolog.Nop(), Meter: f.meter,
+		CallerLeft: screener.HasDisconnected, ResetOnClose: screener.ResetOnClose, Stop: f.stop.Load, Clock: clock.New(), Log: log, Meter: f.meter,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/steerer/second.go
+++ b/pkg/steerer/second.go
@@ -67,24 +67,29 @@
 	result balancer.Result
 	// load is what the server stated in its response.
 	load observer.Load
+	// recorded is set once the balancer has been told how the attempt ended.
+	recorded bool
 }
 
 // send sends the request to the attempt's server and records how that ended.
 func (s *Steerer) send(c *call, a *attempt) {
 	start := s.cfg.Clock.Now()
-	recorded := false
-	defer func() {
-		if !recorded {
-			s.recordAttempt(c, a, balancer.Attempt{Result: balancer.Abandoned})
-		}
-	}()
+	defer s.recordAbandoned(c, a)
 	a.resp, a.err = s.cfg.Send(a.ctx, courier.Target{ID: a.choice.Server.ID, Address: a.choice.Server.Address}, s.backendRequest(c, a.choice.Server))
 	a.result = s.classifyAttempt(a.ctx, a.resp, a.err)
 	a.load = s.load(c, a)
-	recorded = true
+	a.recorded = true
 	s.recordAttempt(c, a, balancer.Attempt{Result: a.result, Duration: s.cfg.Clock.Now() - start, Notice: s.notice(c, a), Load: a.load})
 }
 
+// recordAbandoned takes an attempt that panicked from the requests in flight.
+func (s *Steerer) recordAbandoned(c *call, a *attempt) {
+	if !a.recorded {
+		a.recorded = true
+		s.recordAttempt(c, a, balancer.Attempt{Result: balancer.Abandoned})
+	}
+}
+
 // runAttempts sends the request to the chosen server and, if that takes long and the
 // request may be repeated, to a second one beside it. It returns the attempts that were
 // made; the last one decides what becomes of the request.
@@ -100,11 +105,19 @@
 	r.delay = max(minSecondDelay, s.cfg.SecondDelay(c.route.Name, first.choice))
 	r.nextDelay = max(minSecondDelay, r.delay/2)
 	r.arm()
-	defer r.stop()
+	returned := false
+	defer func() {
+		r.stop()
+		if !returned {
+			r.abandonSecond()
+		}
+	}()
 	c.inFlight = false
 	s.send(c, first)
 	r.end(first)
-	return r.wait()
+	attempts := r.wait()
+	returned = true
+	return attempts
 }
 
 // race is a first attempt, and the second one that may run beside it. The goroutine of the
@@ -155,6 +168,20 @@
 	r.timer.Stop()
 }
 
+// abandonSecond ends the second attempt after a panic of the first one. It uses the body, which
+// is released when the request ends.
+func (r *race) abandonSecond() {
+	r.mu.Lock()
+	second := r.second
+	r.mu.Unlock()
+	if second == nil {
+		return
+	}
+	second.cancel(nil)
+	<-r.secondEnded
+	closeStream(second.resp)
+}
+
 // runSecond runs the second attempt, or tries again later if there is none now: room may
 // come, and the server of the first one may be suspected meanwhile.
 func (r *race) runSecond() {
@@ -175,11 +202,23 @@
 		return
 	}
 	r.s.logPanic(r.c, cause)
-	if r.second != nil {
-		r.second.resp, r.second.err, r.second.result = nil, errPanicked, balancer.Unreachable
-		r.end(r.second)
-		close(r.secondEnded)
+	if r.second == nil {
+		return
+	}
+	defer close(r.secondEnded)
+	if r.hasEnded(r.second) {
+		return
 	}
+	closeStream(r.second.resp)
+	r.second.resp, r.second.err, r.second.result = nil, errPanicked, balancer.Unreachable
+	r.s.recordAbandoned(r.c, r.second)
+	r.end(r.second)
+}
+
+func (r *race) hasEnded(a *attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.ended, a)
 }
 
 // startSecond chooses the server of the second attempt, and reports whether there is one.
--- a/pkg/steerer/second_test.go
+++ b/pkg/steerer/second_test.go
@@ -10,6 +10,7 @@
 
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/courier"
 )
 
 // stall keeps a server from answering until its request is canceled, and reports that on
@@ -284,9 +285,9 @@
 	})
 }
 
-// streamUnusable sends an unusable response that is too large to be held in memory, and
+// streamLarge sends a response that is too large to be held in memory, and
 // reports the end of its connection on a channel.
-func streamUnusable(status int, header string, ended chan<- struct{}) http.HandlerFunc {
+func streamLarge(status int, header string, ended chan<- struct{}) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if header != "" {
 			w.Header().Set(header, "1")
@@ -309,7 +310,7 @@
 		t.Run(name+" and retried", func(t *testing.T) {
 			withSockets(t, func(f *socketFixture) {
 				ended := make(chan struct{}, 1)
-				f.handle = inOrder(streamUnusable(c.status, c.header, ended), answer)
+				f.handle = inOrder(streamLarge(c.status, c.header, ended), answer)
 				conn := f.send(t, http.MethodGet, "/look/1")
 				defer conn.Close()
 				readStatus(t, conn)
@@ -322,7 +323,7 @@
 				f.secondDelay = minSecondDelay
 				f.handle = inOrder(func(w http.ResponseWriter, r *http.Request) {
 					<-secondArrived
-					streamUnusable(c.status, c.header, ended)(w, r)
+					streamLarge(c.status, c.header, ended)(w, r)
 				}, func(w http.ResponseWriter, r *http.Request) {
 					close(secondArrived)
 					for len(f.results()) == 0 {
@@ -338,3 +339,56 @@
 		})
 	}
 }
+
+// A second attempt that panics before it is sent must not count as in flight for ever.
+func TestPanicBeforeSecondAttemptIsSent(t *testing.T) {
+	withSockets(t, func(f *socketFixture) {
+		f.secondDelay = minSecondDelay
+		f.onLog = func(event string) {
+			if event == "second_attempt" {
+				panic("test")
+			}
+		}
+		f.handle = func(_ int32, w http.ResponseWriter, r *http.Request) {
+			time.Sleep(3 * minSecondDelay.Duration())
+			answer(w, r)
+		}
+		c := f.send(t, http.MethodGet, "/look/1")
+		defer c.Close()
+		readStatus(t, c)
+		f.assertResults(t, balancer.Abandoned, balancer.Answered)
+	})
+}
+
+// A panic after a second attempt has ended must neither change its result nor count it again.
+func TestPanicAfterSecondAttemptHasEnded(t *testing.T) {
+	withSockets(t, func(f *socketFixture) {
+		a := &attempt{resp: &courier.Response{}, result: balancer.Answered, recorded: true}
+		r := &race{s: New(Config{Meter: f.meter}), c: &call{}, first: &attempt{}, second: a, ended: []*attempt{a}, secondEnded: make(chan struct{})}
+		func() {
+			defer r.recoverSecond()
+			panic("test")
+		}()
+		assertSignal(t, "the end of the second attempt", r.secondEnded)
+		if len(r.ended) != 1 || a.result != balancer.Answered || a.resp == nil {
+			t.Errorf("%d attempts ended, the second one with %v, want 1 that answered", len(r.ended), a.result)
+		}
+	})
+}
+
+// When the first attempt panics, the response of the second one must not hold its connection.
+func TestFirstAttemptPanics(t *testing.T) {
+	withSockets(t, func(f *socketFixture) {
+		canceled, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+		f.secondDelay = minSecondDelay
+		f.onRecord = func(a balancer.Attempt) {
+			if a.Result == balancer.Superseded {
+				panic("test")
+			}
+		}
+		f.handle = inOrder(stall(canceled), streamLarge(http.StatusOK, "", ended))
+		c := f.send(t, http.MethodGet, "/look/1")
+		defer c.Close()
+		assertSignal(t, "the end of the second attempt's response", ended)
+	})
+}
