--- a/pkg/hoster/second.go
+++ b/pkg/hoster/second.go
@@ -34,7 +34,20 @@
 		return steerer.SecondChoice{Verdict: steerer.SecondOverShare}
 	}
 	now := h.cfg.Clock.Now()
-	req.Second = !suspected
+	if h.balancer.HasStandingQueue(req.Service, now) {
+		return steerer.SecondChoice{Verdict: steerer.SecondNoServer}
+	}
+	h.retryBudget.SetHosts(h.sharingHosts())
+	has, allow := h.retryBudget.HasSecond, h.retryBudget.AllowSecond
+	if suspected {
+		has, allow = h.retryBudget.Has, h.retryBudget.Allow
+	}
+	if !has(req.Service) {
+		return steerer.SecondChoice{Verdict: steerer.SecondOverBudget}
+	}
+	// The request was admitted with its first attempt. Asking for a second one, which happens
+	// again and again, must count neither in the admission nor as a wait.
+	req.Second = true
 	c := h.balancer.Choose(req, now)
 	if c.Refused {
 		return steerer.SecondChoice{Verdict: steerer.SecondNoServer}
@@ -42,11 +55,6 @@
 	if delay := h.secondPutOff(req, first, c, waited); !suspected && delay > secondStep {
 		return steerer.SecondChoice{Verdict: steerer.SecondLater, RetryIn: delay}
 	}
-	h.retryBudget.SetHosts(h.sharingHosts())
-	allow := h.retryBudget.AllowSecond
-	if suspected {
-		allow = h.retryBudget.Allow
-	}
 	if !allow(req.Service).Allowed {
 		return steerer.SecondChoice{Verdict: steerer.SecondOverBudget}
 	}
@@ -58,6 +66,13 @@
 	}
 }
 
+// isSuspected reports whether a server is suspected to be silent.
+func (h *Host) isSuspected(server string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.balancer.IsSuspected(server)
+}
+
 // secondPutOff returns the time for which a second attempt is put off: until its usual
 // delay, or the last moment at which it can still be answered in time.
 func (h *Host) secondPutOff(req balancer.Request, first, second balancer.Choice, waited clock.Millis) clock.Millis {
--- a/pkg/steerer/second.go
+++ b/pkg/steerer/second.go
@@ -46,9 +46,14 @@
 	Suspected bool
 }
 
-// minSecondDelay keeps a request whose second attempt was not allowed from asking all the
-// time.
-const minSecondDelay clock.Millis = 50
+const (
+	// minSecondDelay keeps a request whose second attempt was not allowed from asking all the
+	// time.
+	minSecondDelay clock.Millis = 50
+	// maxAsks is the number of times that a request asks for a second attempt, and again once
+	// the server of its first one is suspected. Each takes a placement decision.
+	maxAsks = 3
+)
 
 // attempt is one attempt at a server.
 type attempt struct {
@@ -62,24 +67,29 @@
 	result balancer.Result
 	// load is what the server stated in its response.
 	load observer.Load
+	// recorded is set once the balancer has been told how the attempt ended.
+	recorded bool
 }
 
 // send sends the request to the attempt's server and records how that ended.
 func (s *Steerer) send(c *call, a *attempt) {
 	start := s.cfg.Clock.Now()
-	recorded := false
-	defer func() {
-		if !recorded {
-			s.recordAttempt(c, a, balancer.Attempt{Result: balancer.Abandoned})
-		}
-	}()
+	defer s.recordAbandoned(c, a)
 	a.resp, a.err = s.cfg.Send(a.ctx, courier.Target{ID: a.choice.Server.ID, Address: a.choice.Server.Address}, s.backendRequest(c, a.choice.Server))
 	a.result = s.classifyAttempt(a.ctx, a.resp, a.err)
 	a.load = s.load(c, a)
-	recorded = true
+	a.recorded = true
 	s.recordAttempt(c, a, balancer.Attempt{Result: a.result, Duration: s.cfg.Clock.Now() - start, Notice: s.notice(c, a), Load: a.load})
 }
 
+// recordAbandoned takes an attempt that panicked from the requests in flight.
+func (s *Steerer) recordAbandoned(c *call, a *attempt) {
+	if !a.recorded {
+		a.recorded = true
+		s.recordAttempt(c, a, balancer.Attempt{Result: balancer.Abandoned})
+	}
+}
+
 // runAttempts sends the request to the chosen server and, if that takes long and the
 // request may be repeated, to a second one beside it. It returns the attempts that were
 // made; the last one decides what becomes of the request.
@@ -93,12 +103,21 @@
 	first.ctx, first.cancel = context.WithCancelCause(ctx)
 	r := &race{s: s, c: c, ctx: ctx, first: first, start: s.cfg.Clock.Now(), secondEnded: make(chan struct{})}
 	r.delay = max(minSecondDelay, s.cfg.SecondDelay(c.route.Name, first.choice))
+	r.nextDelay = max(minSecondDelay, r.delay/2)
 	r.arm()
-	defer r.stop()
+	returned := false
+	defer func() {
+		r.stop()
+		if !returned {
+			r.abandonSecond()
+		}
+	}()
 	c.inFlight = false
 	s.send(c, first)
 	r.end(first)
-	return r.wait()
+	attempts := r.wait()
+	returned = true
+	return attempts
 }
 
 // race is a first attempt, and the second one that may run beside it. The goroutine of the
@@ -112,11 +131,16 @@
 	start clock.Millis
 	// delay is the time until the next decision on a second attempt.
 	delay clock.Millis
+	// nextDelay is the time from one decision to the next.
+	nextDelay clock.Millis
 	// secondEnded is closed when the second attempt has ended.
 	secondEnded chan struct{}
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// dueAt is the time at which the timer should fire, and asks the number of decisions.
+	dueAt clock.Millis
+	asks  int
 	// closed is set once no second attempt may start.
 	closed bool
 	second *attempt
@@ -131,6 +155,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.closed {
+		r.dueAt = r.s.cfg.Clock.Now() + r.delay
 		r.timer = time.AfterFunc(r.delay.Duration(), r.runSecond)
 	}
 }
@@ -143,6 +168,20 @@
 	r.timer.Stop()
 }
 
+// abandonSecond ends the second attempt after a panic of the first one. It uses the body, which
+// is released when the request ends.
+func (r *race) abandonSecond() {
+	r.mu.Lock()
+	second := r.second
+	r.mu.Unlock()
+	if second == nil {
+		return
+	}
+	second.cancel(nil)
+	<-r.secondEnded
+	closeStream(second.resp)
+}
+
 // runSecond runs the second attempt, or tries again later if there is none now: room may
 // come, and the server of the first one may be suspected meanwhile.
 func (r *race) runSecond() {
@@ -163,11 +202,23 @@
 		return
 	}
 	r.s.logPanic(r.c, cause)
-	if r.second != nil {
-		r.second.resp, r.second.err, r.second.result = nil, errPanicked, balancer.Unreachable
-		r.end(r.second)
-		close(r.secondEnded)
+	if r.second == nil {
+		return
+	}
+	defer close(r.secondEnded)
+	if r.hasEnded(r.second) {
+		return
 	}
+	closeStream(r.second.resp)
+	r.second.resp, r.second.err, r.second.result = nil, errPanicked, balancer.Unreachable
+	r.s.recordAbandoned(r.c, r.second)
+	r.end(r.second)
+}
+
+func (r *race) hasEnded(a *attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.ended, a)
 }
 
 // startSecond chooses the server of the second attempt, and reports whether there is one.
@@ -175,7 +226,15 @@
 	s, c := r.s, r.c
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.delay = max(minSecondDelay, r.delay/2)
+	if s.cfg.Clock.Now()-r.dueAt >= minSecondDelay {
+		// The process was stopped or starved, and responses that have arrived may be unread.
+		r.delay = minSecondDelay
+		return false
+	}
+	r.delay = r.nextDelay
+	if !r.mayAsk() {
+		return false
+	}
 	if r.closed || s.cfg.Stop() != nil || r.ctx.Err() != nil || s.cfg.CallerLeft(c.r.Context()) || s.recheckKey(c) != nil {
 		return false
 	}
@@ -185,6 +244,7 @@
 	}
 	req := s.balancerRequest(c, timeLeft)
 	req.AttemptedServers = append(slices.Clone(c.attemptedServers), r.first.choice.Server.ID)
+	r.asks++
 	d := s.cfg.ChooseSecond(req, r.first.choice, s.cfg.Clock.Now()-r.start)
 	if d.Verdict == SecondLater {
 		r.delay = d.RetryIn
@@ -202,6 +262,11 @@
 	return true
 }
 
+// mayAsk reports whether the request may ask for a second attempt once more.
+func (r *race) mayAsk() bool {
+	return r.asks < maxAsks || r.asks < 2*maxAsks && r.s.cfg.IsSuspected(r.first.choice.Server.ID)
+}
+
 // end records that an attempt has ended. The first one with a usable response wins, and
 // the other one is canceled.
 func (r *race) end(a *attempt) {
@@ -216,9 +281,7 @@
 		return
 	}
 	if r.winner != nil {
-		if a.resp.Stream != nil {
-			_ = a.resp.Stream.Close()
-		}
+		closeStream(a.resp)
 		return
 	}
 	r.winner = a
--- a/pkg/steerer/second_test.go
+++ b/pkg/steerer/second_test.go
@@ -4,11 +4,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkindyke/pkg/balancer"
 	"catkindyke/pkg/clock"
+	"catkindyke/pkg/courier"
 )
 
 // stall keeps a server from answering until its request is canceled, and reports that on
@@ -227,6 +229,48 @@
 	}
 }
 
+// Requests that wait long must not ask for a second attempt all the time: each decision takes
+// the lock of the host. A server that is suspected only later must still be left.
+func TestAsksForSecondAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		suspected bool
+		want      int32
+	}{"slow server": {false, maxAsks}, "suspected server": {true, 2 * maxAsks}} {
+		t.Run(name, func(t *testing.T) {
+			withSockets(t, func(f *socketFixture) {
+				var asks atomic.Int32
+				f.secondDelay = minSecondDelay
+				f.suspected.Store(c.suspected)
+				f.chooseSecond = func(balancer.Request, balancer.Choice, clock.Millis) SecondChoice {
+					asks.Add(1)
+					return SecondChoice{Verdict: SecondNoServer}
+				}
+				f.handle = func(_ int32, w http.ResponseWriter, r *http.Request) {
+					time.Sleep(12 * minSecondDelay.Duration())
+					answer(w, r)
+				}
+				conn := f.send(t, http.MethodGet, "/look/1")
+				defer conn.Close()
+				readStatus(t, conn)
+				if asks.Load() != c.want {
+					t.Errorf("%d asks for a second attempt, want %d", asks.Load(), c.want)
+				}
+			})
+		})
+	}
+}
+
+// After a stop of the process, responses that have arrived must be read before requests go to
+// a second server.
+func TestLateTimerAsksAgain(t *testing.T) {
+	manual := &clock.Manual{}
+	r := &race{s: New(Config{Clock: manual.Clock()}), dueAt: 100}
+	manual.Advance(100 + clock.Second)
+	if r.startSecond() || r.delay != minSecondDelay {
+		t.Errorf("a second attempt starts or is decided on in %d ms, want a decision in %d ms", r.delay, minSecondDelay)
+	}
+}
+
 // A second attempt that panics ends by itself; its goroutine is not one of net/http's.
 func TestSecondAttemptPanics(t *testing.T) {
 	withSockets(t, func(f *socketFixture) {
@@ -240,3 +284,111 @@
 		f.assertResults(t, balancer.Answered)
 	})
 }
+
+// streamLarge sends a response that is too large to be held in memory, and
+// reports the end of its connection on a channel.
+func streamLarge(status int, header string, ended chan<- struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if header != "" {
+			w.Header().Set(header, "1")
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write(make([]byte, 100<<10))
+		_ = http.NewResponseController(w).Flush()
+		stall(ended)(w, r)
+	}
+}
+
+// A response that is not passed on must not hold its connection to the server.
+func TestUnusedStreamsAreClosed(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header string
+	}{
+		"failed": {500, ""}, "shed": {503, headers.NotExecuted}, "other server": {421, ""},
+	} {
+		t.Run(name+" and retried", func(t *testing.T) {
+			withSockets(t, func(f *socketFixture) {
+				ended := make(chan struct{}, 1)
+				f.handle = inOrder(streamLarge(c.status, c.header, ended), answer)
+				conn := f.send(t, http.MethodGet, "/look/1")
+				defer conn.Close()
+				readStatus(t, conn)
+				assertSignal(t, "the end of the unusable response", ended)
+			})
+		})
+		t.Run(name+" beside another attempt", func(t *testing.T) {
+			withSockets(t, func(f *socketFixture) {
+				ended, secondArrived := make(chan struct{}, 1), make(chan struct{})
+				f.secondDelay = minSecondDelay
+				f.handle = inOrder(func(w http.ResponseWriter, r *http.Request) {
+					<-secondArrived
+					streamLarge(c.status, c.header, ended)(w, r)
+				}, func(w http.ResponseWriter, r *http.Request) {
+					close(secondArrived)
+					for len(f.results()) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					answer(w, r)
+				})
+				conn := f.send(t, http.MethodGet, "/look/1")
+				defer conn.Close()
+				readStatus(t, conn)
+				assertSignal(t, "the end of the unusable response", ended)
+			})
+		})
+	}
+}
+
+// A second attempt that panics before it is sent must not count as in flight for ever.
+func TestPanicBeforeSecondAttemptIsSent(t *testing.T) {
+	withSockets(t, func(f *socketFixture) {
+		f.secondDelay = minSecondDelay
+		f.onLog = func(event string) {
+			if event == "second_attempt" {
+				panic("test")
+			}
+		}
+		f.handle = func(_ int32, w http.ResponseWriter, r *http.Request) {
+			time.Sleep(3 * minSecondDelay.Duration())
+			answer(w, r)
+		}
+		c := f.send(t, http.MethodGet, "/look/1")
+		defer c.Close()
+		readStatus(t, c)
+		f.assertResults(t, balancer.Abandoned, balancer.Answered)
+	})
+}
+
+// A panic after a second attempt has ended must neither change its result nor count it again.
+func TestPanicAfterSecondAttemptHasEnded(t *testing.T) {
+	withSockets(t, func(f *socketFixture) {
+		a := &attempt{resp: &courier.Response{}, result: balancer.Answered, recorded: true}
+		r := &race{s: New(Config{Meter: f.meter}), c: &call{}, first: &attempt{}, second: a, ended: []*attempt{a}, secondEnded: make(chan struct{})}
+		func() {
+			defer r.recoverSecond()
+			panic("test")
+		}()
+		assertSignal(t, "the end of the second attempt", r.secondEnded)
+		if len(r.ended) != 1 || a.result != balancer.Answered || a.resp == nil {
+			t.Errorf("%d attempts ended, the second one with %v, want 1 that answered", len(r.ended), a.result)
+		}
+	})
+}
+
+// When the first attempt panics, the response of the second one must not hold its connection.
+func TestFirstAttemptPanics(t *testing.T) {
+	withSockets(t, func(f *socketFixture) {
+		canceled, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+		f.secondDelay = minSecondDelay
+		f.onRecord = func(a balancer.Attempt) {
+			if a.Result == balancer.Superseded {
+				panic("test")
+			}
+		}
+		f.handle = inOrder(stall(canceled), streamLarge(http.StatusOK, "", ended))
+		c := f.send(t, http.MethodGet, "/look/1")
+		defer c.Close()
+		assertSignal(t, "the end of the second attempt's response", ended)
+	})
+}
