accepter: count the buffers of message readers until they are freed

Callers and hosts could see: a host that runs out of memory. A whole message on the port for other hosts left about 4 MB a connection that nothing counted, because the buffers of drpcwire.Reader never shrink and the reservation ended with the answer. Responses of HTTP/1.0 callers that were cut looked whole, because the wrapped connection had no SetLinger.

TestCutResponseLooksWhole through accepter.Wrap fails without SetLinger.

--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -39,8 +39,8 @@
 	// noRoomWriteTimeout is the write timeout of a response for which there is no room.
 	noRoomWriteTimeout = clock.Second
 	// messageFactor is the memory that a message between hosts takes for each byte: the
-	// buffers of the reader double when they are full.
-	messageFactor = 3
+	// buffers of the reader double when they are full, and the message is copied from them.
+	messageFactor = 4
 	// freeBytes is the part of a message that the cost of its connection covers.
 	freeBytes = 4 << 10
 )
@@ -122,9 +122,11 @@
 	writeDeadline time.Time
 
 	mu sync.Mutex
-	// unanswered is the number of bytes read since the last write, and reserved what is
-	// reserved for them.
-	unanswered, reserved int64
+	// unanswered is the number of bytes read since the last write.
+	unanswered int64
+	// reserved is what is reserved for messages. It stays until the connection closes,
+	// because the reader's buffers never shrink. Only the goroutine that reads uses it.
+	reserved int64
 }
 
 // open reserves the connection.
@@ -303,9 +305,9 @@
 // holdMessage reserves the memory of a message of which n more bytes were read.
 func (c *Conn) holdMessage(n int) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.unanswered += int64(n)
 	more := messageFactor*c.unanswered - freeBytes - c.reserved
+	c.mu.Unlock()
 	if more <= 0 {
 		return nil
 	}
@@ -319,7 +321,10 @@
 // Write implements net.Conn. It fails if the client takes no byte for WriteTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.cfg.Messages {
-		defer c.endCall()
+		c.mu.Lock()
+		answered := c.unanswered
+		c.mu.Unlock()
+		defer c.endCall(answered)
 	}
 	before := c.cfg.Budget.SetPhase(c.holder, reserver.Answering, c.cfg.Clock.Now())
 	defer c.SetPhase(before)
@@ -344,10 +349,10 @@
 	}
 }
 
-// endCall records that a call was answered.
-func (c *Conn) endCall() {
+// endCall records that a call was answered, for which n bytes had been read.
+func (c *Conn) endCall(n int64) {
 	c.mu.Lock()
-	c.unanswered, c.reserved = 0, 0
+	c.unanswered -= n
 	c.mu.Unlock()
 	c.EndRequest()
 }
@@ -394,6 +399,15 @@
 	return nil
 }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed, as that of
+// net.TCPConn.
+func (c *Conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -12,7 +12,8 @@
 // Use is what reserved bytes are for.
 type Use int
 
-// Connection is the fixed cost of an open connection, and Request that of a request.
+// Connection is the fixed cost of an open connection, and Request that of a request. Message
+// stands for the buffers of a reader of messages, which live as long as the connection.
 const (
 	Connection Use = iota
 	Request
@@ -310,11 +311,12 @@
 	}
 }
 
-// EndRequest gives back all that a request took, and makes the connection idle.
+// EndRequest gives back all that a request took, and makes the connection idle. Room for
+// messages stays reserved until the connection closes.
 func (b *Budget) EndRequest(h *Holder, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for use := Request; use < useCount; use++ {
+	for use := Request; use < Message; use++ {
 		b.release(h, use, h.held[use])
 	}
 	b.endForward(h)
