reserver: only the client's own delay makes its request end

With many waiters each release of some bytes woke all of them, and each searched all holders under the mutex.

Change: a stall counts only while a read from the client is pending, or a response is written. The reader of a streamed body sets Serving at its end. TryReserve chooses no victims. Requests look for room every 20 ms, and victims aren't searched for 20 ms after a search that found none.

Tests: the upload test fails ("EOF, want status 200") if the end of the body isn't told to the budget.

--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -28,9 +28,9 @@
 	maxAcceptWait = 20 * time.Millisecond
 	// acceptTries is the number of times that room is sought for a new connection.
 	acceptTries = 3
-	// maxTries bounds the number of times that room is sought for a request, which is also
-	// bounded by maxWait.
-	maxTries = 1000
+	// retryInterval is the time after which room is sought again for a request. All waiters
+	// are not woken for each byte that comes free.
+	retryInterval = 20 * time.Millisecond
 	// stopGrace is the time for a refusal to a client that must end.
 	stopGrace = 250 * time.Millisecond
 	// boundedAfter is the number of received bytes after which the receive buffer is
@@ -136,27 +136,16 @@
 		address = host
 	}
 	from := reserver.Client{Address: address, IsTrusted: c.cfg.IsTrusted != nil && c.cfg.IsTrusted(address), Stop: c.stop}
-	return c.seek(acceptTries, maxAcceptWait, func() reserver.Decision {
+	var changed <-chan struct{}
+	for range acceptTries {
 		h, victims, d := c.cfg.Budget.Open(from, c.cfg.Clock.Now())
 		stopAll(victims, true)
 		c.holder = h
-		return d
-	})
-}
-
-// seek tries to reserve until that is decided, and waits for room in between.
-func (c *Conn) seek(tries int, wait time.Duration, try func() reserver.Decision) bool {
-	var changed <-chan struct{}
-	for range tries {
-		switch try() {
-		case reserver.Granted:
-			return true
-		case reserver.Denied:
-			return false
-		case reserver.Wait:
+		if d != reserver.Wait {
+			return d == reserver.Granted
 		}
 		// The first wait is skipped: room may have come free before changed was set.
-		if changed != nil && !waitFor(changed, wait) {
+		if changed != nil && !waitFor(changed, maxAcceptWait) {
 			return false
 		}
 		changed = c.cfg.Budget.Changed()
@@ -201,25 +190,18 @@
 	if c == nil || n <= 0 {
 		return nil
 	}
-	end := c.cfg.Clock.Now() + clock.FromDuration(maxWait)
-	ok := c.seek(maxTries, maxWait, func() reserver.Decision {
-		d := c.tryReserve(use, n)
-		if d == reserver.Wait && c.cfg.Clock.Now() >= end {
-			return reserver.Denied
+	for waited := time.Duration(0); ; waited += retryInterval {
+		victims, d := c.cfg.Budget.Reserve(c.holder, use, int64(n), c.cfg.Clock.Now())
+		stopAll(victims, false)
+		if d == reserver.Granted {
+			return nil
 		}
-		return d
-	})
-	if !ok {
-		c.cfg.OnCut(c.RemoteAddr().String(), use.String())
-		return ErrNoRoom
+		if d == reserver.Denied || waited >= maxWait {
+			c.cfg.OnCut(c.RemoteAddr().String(), use.String())
+			return ErrNoRoom
+		}
+		time.Sleep(retryInterval)
 	}
-	return nil
-}
-
-func (c *Conn) tryReserve(use reserver.Use, n int) reserver.Decision {
-	victims, d := c.cfg.Budget.Reserve(c.holder, use, int64(n), c.cfg.Clock.Now())
-	stopAll(victims, false)
-	return d
 }
 
 // Forward reserves a connection to a server for the current request. The error is ErrNoRoom.
@@ -242,7 +224,7 @@
 	if c == nil || c.cfg.LargeReceiveBuffer <= 0 || c.hasLargeBuffer.Load() {
 		return
 	}
-	if c.tryReserve(reserver.Body, c.cfg.LargeReceiveBuffer) == reserver.Granted {
+	if c.cfg.Budget.TryReserve(c.holder, reserver.Body, int64(c.cfg.LargeReceiveBuffer)) {
 		c.hasLargeBuffer.Store(true)
 		c.setReceiveBuffer(c.cfg.LargeReceiveBuffer)
 	}
@@ -291,8 +273,11 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.cfg.Budget.BeginRead(c.holder, c.cfg.Clock.Now())
 	n, err := c.Conn.Read(p)
-	if n > 0 {
+	if n == 0 {
+		c.cfg.Budget.EndRead(c.holder, c.cfg.Clock.Now())
+	} else {
 		c.cfg.Budget.Receive(c.holder, n, c.cfg.Clock.Now())
 		c.boundReceiveBuffer(n)
 		if c.cfg.Messages && c.holdMessage(n) != nil {
@@ -330,7 +315,7 @@
 	defer c.SetPhase(before)
 	timeout := c.cfg.WriteTimeout
 	if extra := len(p) - freeBytes; extra > 0 {
-		if c.tryReserve(reserver.Answer, extra) == reserver.Granted {
+		if c.cfg.Budget.TryReserve(c.holder, reserver.Answer, int64(extra)) {
 			defer c.Release(reserver.Answer, extra)
 		} else {
 			// The response exists, and most clients take it at once.
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -77,6 +77,9 @@
 	transferStall              = 2 * clock.Second
 	// noConnStall replaces transferStall when a new connection finds no other room.
 	noConnStall clock.Millis = 500
+	// searchInterval is the time for which victims aren't searched again for bytes when
+	// there were none. Each search visits all holders, and many requests may wait.
+	searchInterval clock.Millis = 20
 )
 
 // Config configures a budget.
@@ -106,6 +109,8 @@
 	clients   map[string]*client
 	// opened counts the holders that were opened.
 	opened int64
+	// searchAgain is the time before which no victims are searched for bytes.
+	searchAgain clock.Millis
 	// changed is closed when bytes come free, nil if nobody waits for that.
 	changed chan struct{}
 }
@@ -131,9 +136,26 @@
 	isForwarded bool
 	// hasServed is set after the first complete request.
 	hasServed bool
-	// since is the time of the last progress, and partial the number of bytes since then.
+	// since is the time of the last progress or change of the phase, and partial the number
+	// of bytes since then.
 	since   clock.Millis
 	partial int
+	// reads is set while the host reads from the client, which began at readSince, and stalled
+	// is the duration of earlier reads without progress.
+	reads              bool
+	readSince, stalled clock.Millis
+}
+
+// stall returns the time for which the host has waited for the client without progress. The time
+// that the host itself or a server takes doesn't count.
+func (h *Holder) stall(now clock.Millis) clock.Millis {
+	switch {
+	case h.phase == Answering:
+		return now - h.since
+	case h.reads:
+		return h.stalled + now - h.readSince
+	}
+	return h.stalled
 }
 
 // New returns an empty budget.
@@ -177,7 +199,7 @@
 		return nil, append(victims, more...), d
 	}
 	b.opened++
-	h = &Holder{number: b.opened, Client: from, client: c, since: now}
+	h = &Holder{number: b.opened, Client: from, client: c, reads: true, readSince: now}
 	b.clients[from.Address] = c
 	c.conns++
 	c.holders++
@@ -231,6 +253,17 @@
 	return b.makeRoom(search{holder: h, client: h.client, isTrusted: h.IsTrusted, large: !use.isSmall(), now: now}, use, n)
 }
 
+// TryReserve reserves bytes for a holder if there is room, and ends no other holder.
+func (b *Budget) TryReserve(h *Holder, use Use, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.ending || !b.isOpen(h) || !b.fits(use, n) {
+		return false
+	}
+	b.add(h, use, n)
+	return true
+}
+
 func (b *Budget) isOpen(h *Holder) bool {
 	_, ok := b.holders[h]
 	return ok
@@ -252,8 +285,12 @@
 		return nil, Denied
 	}
 	for b.total-b.ending+n > b.limit(use) {
+		if s.holder != nil && s.now < b.searchAgain {
+			break
+		}
 		v := b.victim(s)
 		if v == nil && s.holder != nil {
+			b.searchAgain = s.now + searchInterval
 			break // others may end by themselves
 		}
 		if v == nil || v == s.holder {
@@ -353,17 +390,43 @@
 
 func (h *Holder) setPhase(phase Phase, now clock.Millis) {
 	if h.phase != phase {
-		h.phase, h.since, h.partial = phase, now, 0
+		h.phase = phase
+		h.restart(now)
 	}
 }
 
-// Receive records that n bytes have arrived. A request begins with them if the connection was idle.
+// BeginRead records that the host begins to read from a client. Receive or EndRead follows.
+func (b *Budget) BeginRead(h *Holder, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !h.reads {
+		h.reads, h.readSince = true, now
+	}
+}
+
+// EndRead records that a read has returned nothing.
+func (b *Budget) EndRead(h *Holder, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.endRead(now)
+}
+
+func (h *Holder) endRead(now clock.Millis) {
+	if h.reads {
+		h.stalled += now - h.readSince
+		h.reads = false
+	}
+}
+
+// Receive records that n bytes have arrived, which ends the read. A request begins with
+// them if the connection was idle.
 func (b *Budget) Receive(h *Holder, n int, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h.phase == Idle {
 		h.setPhase(Receiving, now)
 	}
+	h.endRead(now)
 	h.progress(n, now)
 }
 
@@ -376,10 +439,14 @@
 
 func (h *Holder) progress(n int, now clock.Millis) {
 	if h.partial += n; h.partial >= progressStep {
-		h.since, h.partial = now, 0
+		h.restart(now)
 	}
 }
 
+func (h *Holder) restart(now clock.Millis) {
+	h.since, h.readSince, h.stalled, h.partial = now, now, 0, 0
+}
+
 // Changed returns a channel that is closed when bytes come free.
 func (b *Budget) Changed() <-chan struct{} {
 	b.mu.Lock()
--- a/pkg/steerer/body.go
+++ b/pkg/steerer/body.go
@@ -61,6 +61,8 @@
 	// head is the part of the body that is held in memory, and rest what follows it.
 	head []byte
 	rest io.Reader
+	// onEnd is called when rest has been read to its end.
+	onEnd func()
 	// restTaken is set once an attempt has begun to read rest.
 	restTaken bool
 	// current is the reader of the attempt that is under way, or nil.
@@ -108,5 +110,9 @@
 	b.restTaken = true
 	b.mu.Unlock()
 	// The caller may send slowly, so that this is done without the mutex.
-	return b.rest.Read(p)
+	n, err := b.rest.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.onEnd()
+	}
+	return n, err
 }
--- a/pkg/steerer/room_test.go
+++ b/pkg/steerer/room_test.go
@@ -1,12 +1,14 @@
 package steerer
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"catkindyke/pkg/accepter"
 	"catkindyke/pkg/clock"
@@ -80,3 +82,38 @@
 		}
 	})
 }
+
+// Guards against uploads that end for new connections while their server works on them.
+func TestUploadAtServerStays(t *testing.T) {
+	old := testLimits
+	testLimits.MaxBodyBytes = 3 << 20
+	defer func() { testLimits = old }()
+	withSockets(t, func(f *socketFixture) {
+		arrived, release := make(chan struct{}), make(chan struct{})
+		f.handle = func(_ int32, w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			close(arrived)
+			<-release
+			_, _ = io.WriteString(w, "ok")
+		}
+		c, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = fmt.Fprintf(c, "POST /book/x HTTP/1.1\r\nHost: a.example\r\nId: 1\r\nKey: k1\r\nDeadline: 5000\r\nContent-Length: %d\r\n\r\n%s", 2<<20, strings.Repeat("b", 2<<20))
+		<-arrived
+		time.Sleep(600 * time.Millisecond) // longer than a slow transfer may last for a new connection
+		for range 101 {
+			// More than the budget's connections.
+			other, err := net.Dial("tcp", f.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer other.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+		close(release)
+		readStatus(t, c)
+	})
+}
--- a/pkg/steerer/steerer.go
+++ b/pkg/steerer/steerer.go
@@ -340,10 +340,12 @@
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	s.setReadDeadline(c, time.Now().Add(s.timeLeft(c).Duration()))
+	// Once the body has arrived, the caller can't hold up the request.
+	onEnd := func() { held.SetPhase(reserver.Serving) }
 	if c.r.ContentLength > maxBufferedBody {
 		held.GrowReceiveBuffer()
 		held.SetPhase(reserver.Streaming)
-		c.stream = &streamedBody{rest: c.r.Body}
+		c.stream = &streamedBody{rest: c.r.Body, onEnd: onEnd}
 		return nil
 	}
 	body, err := readHeld(held, c.r.Body, c.r.ContentLength)
@@ -359,7 +361,7 @@
 		return &refusal{http.StatusBadRequest, "unreadable_body", 0}
 	case len(body) > maxBufferedBody:
 		held.SetPhase(reserver.Streaming)
-		c.stream = &streamedBody{head: body, rest: c.r.Body}
+		c.stream = &streamedBody{head: body, rest: c.r.Body, onEnd: onEnd}
 	default:
 		c.body, c.bodyRead = body, true
 		held.SetPhase(reserver.Serving)
