courier: count the buffered header of a streamed request without chunks

Callers could see: the response to a request with an empty chunked body failed as "response may be cut off" if only the end of the connection ended it. expectBytes left out the header that was still buffered. `go test ./pkg/courier -run TestStreamedBodyWithoutLength` fails without this change.

--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -401,7 +401,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			conn.expectBytes(int64(len(lastChunk)))
+			// Without a chunk before it, the header is still buffered.
+			conn.expectBytes(int64(w.Buffered() + len(lastChunk)))
 			_, _ = w.WriteString(lastChunk)
 			return w.Flush()
 		}
