--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -28,9 +28,9 @@
 	maxAcceptWait = 20 * time.Millisecond
 	// acceptTries is the number of times that room is sought for a new connection.
 	acceptTries = 3
-	// maxTries bounds the number of times that room is sought for a request, which is also
-	// bounded by maxWait.
-	maxTries = 1000
+	// retryInterval is the time after which room is sought again for a request. All waiters
+	// are not woken for each byte that comes free.
+	retryInterval = 20 * time.Millisecond
 	// stopGrace is the time for a refusal to a client that must end.
 	stopGrace = 250 * time.Millisecond
 	// boundedAfter is the number of received bytes after which the receive buffer is
@@ -39,8 +39,8 @@
 	// noRoomWriteTimeout is the write timeout of a response for which there is no room.
 	noRoomWriteTimeout = clock.Second
 	// messageFactor is the memory that a message between hosts takes for each byte: the
-	// buffers of the reader double when they are full.
-	messageFactor = 3
+	// buffers of the reader double when they are full, and the message is copied from them.
+	messageFactor = 4
 	// freeBytes is the part of a message that the cost of its connection covers.
 	freeBytes = 4 << 10
 )
@@ -122,9 +122,11 @@
 	writeDeadline time.Time
 
 	mu sync.Mutex
-	// unanswered is the number of bytes read since the last write, and reserved what is
-	// reserved for them.
-	unanswered, reserved int64
+	// unanswered is the number of bytes read since the last write.
+	unanswered int64
+	// reserved is what is reserved for messages. It stays until the connection closes,
+	// because the reader's buffers never shrink. Only the goroutine that reads uses it.
+	reserved int64
 }
 
 // open reserves the connection.
@@ -134,27 +136,16 @@
 		address = host
 	}
 	from := reserver.Client{Address: address, IsTrusted: c.cfg.IsTrusted != nil && c.cfg.IsTrusted(address), Stop: c.stop}
-	return c.seek(acceptTries, maxAcceptWait, func() reserver.Decision {
+	var changed <-chan struct{}
+	for range acceptTries {
 		h, victims, d := c.cfg.Budget.Open(from, c.cfg.Clock.Now())
 		stopAll(victims, true)
 		c.holder = h
-		return d
-	})
-}
-
-// seek tries to reserve until that is decided, and waits for room in between.
-func (c *Conn) seek(tries int, wait time.Duration, try func() reserver.Decision) bool {
-	var changed <-chan struct{}
-	for range tries {
-		switch try() {
-		case reserver.Granted:
-			return true
-		case reserver.Denied:
-			return false
-		case reserver.Wait:
+		if d != reserver.Wait {
+			return d == reserver.Granted
 		}
 		// The first wait is skipped: room may have come free before changed was set.
-		if changed != nil && !waitFor(changed, wait) {
+		if changed != nil && !waitFor(changed, maxAcceptWait) {
 			return false
 		}
 		changed = c.cfg.Budget.Changed()
@@ -199,25 +190,18 @@
 	if c == nil || n <= 0 {
 		return nil
 	}
-	end := c.cfg.Clock.Now() + clock.FromDuration(maxWait)
-	ok := c.seek(maxTries, maxWait, func() reserver.Decision {
-		d := c.tryReserve(use, n)
-		if d == reserver.Wait && c.cfg.Clock.Now() >= end {
-			return reserver.Denied
+	for waited := time.Duration(0); ; waited += retryInterval {
+		victims, d := c.cfg.Budget.Reserve(c.holder, use, int64(n), c.cfg.Clock.Now())
+		stopAll(victims, false)
+		if d == reserver.Granted {
+			return nil
 		}
-		return d
-	})
-	if !ok {
-		c.cfg.OnCut(c.RemoteAddr().String(), use.String())
-		return ErrNoRoom
+		if d == reserver.Denied || waited >= maxWait {
+			c.cfg.OnCut(c.RemoteAddr().String(), use.String())
+			return ErrNoRoom
+		}
+		time.Sleep(retryInterval)
 	}
-	return nil
-}
-
-func (c *Conn) tryReserve(use reserver.Use, n int) reserver.Decision {
-	victims, d := c.cfg.Budget.Reserve(c.holder, use, int64(n), c.cfg.Clock.Now())
-	stopAll(victims, false)
-	return d
 }
 
 // Forward reserves a connection to a server for the current request. The error is ErrNoRoom.
@@ -240,7 +224,7 @@
 	if c == nil || c.cfg.LargeReceiveBuffer <= 0 || c.hasLargeBuffer.Load() {
 		return
 	}
-	if c.tryReserve(reserver.Body, c.cfg.LargeReceiveBuffer) == reserver.Granted {
+	if c.cfg.Budget.TryReserve(c.holder, reserver.Body, int64(c.cfg.LargeReceiveBuffer)) {
 		c.hasLargeBuffer.Store(true)
 		c.setReceiveBuffer(c.cfg.LargeReceiveBuffer)
 	}
@@ -289,8 +273,11 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.cfg.Budget.BeginRead(c.holder, c.cfg.Clock.Now())
 	n, err := c.Conn.Read(p)
-	if n > 0 {
+	if n == 0 {
+		c.cfg.Budget.EndRead(c.holder, c.cfg.Clock.Now())
+	} else {
 		c.cfg.Budget.Receive(c.holder, n, c.cfg.Clock.Now())
 		c.boundReceiveBuffer(n)
 		if c.cfg.Messages && c.holdMessage(n) != nil {
@@ -303,9 +290,9 @@
 // holdMessage reserves the memory of a message of which n more bytes were read.
 func (c *Conn) holdMessage(n int) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.unanswered += int64(n)
 	more := messageFactor*c.unanswered - freeBytes - c.reserved
+	c.mu.Unlock()
 	if more <= 0 {
 		return nil
 	}
@@ -319,13 +306,16 @@
 // Write implements net.Conn. It fails if the client takes no byte for WriteTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.cfg.Messages {
-		defer c.endCall()
+		c.mu.Lock()
+		answered := c.unanswered
+		c.mu.Unlock()
+		defer c.endCall(answered)
 	}
 	before := c.cfg.Budget.SetPhase(c.holder, reserver.Answering, c.cfg.Clock.Now())
 	defer c.SetPhase(before)
 	timeout := c.cfg.WriteTimeout
 	if extra := len(p) - freeBytes; extra > 0 {
-		if c.tryReserve(reserver.Answer, extra) == reserver.Granted {
+		if c.cfg.Budget.TryReserve(c.holder, reserver.Answer, int64(extra)) {
 			defer c.Release(reserver.Answer, extra)
 		} else {
 			// The response exists, and most clients take it at once.
@@ -344,10 +334,10 @@
 	}
 }
 
-// endCall records that a call was answered.
-func (c *Conn) endCall() {
+// endCall records that a call was answered, for which n bytes had been read.
+func (c *Conn) endCall(n int64) {
 	c.mu.Lock()
-	c.unanswered, c.reserved = 0, 0
+	c.unanswered -= n
 	c.mu.Unlock()
 	c.EndRequest()
 }
@@ -394,6 +384,15 @@
 	return nil
 }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed, as that of
+// net.TCPConn.
+func (c *Conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
