balancer: do not take a lone host's reports for old

A host without reports of others compared only few servers, once servers stated their load: the weight of reports was 0.05 though nothing was reported.

The age of reports without any is the longest one, for which statements are used. It now counts for the weight of reports only if there are some.

--- a/pkg/balancer/load.go
+++ b/pkg/balancer/load.go
@@ -154,10 +154,10 @@
 // Requests that were at a server when a report was made have been answered some time later,
 // and others were sent to the servers that had few. In a large fleet, all hosts would send
 // their requests of a second to the same ones. So the numbers move towards the mean of the
-// service once reports are older than a request takes.
+// service once reports are older than a request takes. Without reports nothing is old.
 func (b *Balancer) updateReportWeight(p *pool, c *class) {
 	p.reportWeight = 1
-	if p.statesLoad {
+	if p.statesLoad && len(b.reports) > 0 {
 		p.reportWeight = math.Exp(-math.Max(0, float64(b.reportAge)/c.warmServiceTime-1))
 	}
 }
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -154,6 +154,19 @@
 	})
 }
 
+// A host without reports knows of all requests there are. It must not take them for old, or it
+// compares few servers.
+func TestReportWeightOfLoneHost(t *testing.T) {
+	withBalancer("n", makeServers("n", 20, 4), func(b *Balancer) {
+		b.RecordLoad("n0", observer.Load{Running: 1, Slots: 4}, 990)
+		b.Tick(1000)
+		b.Choose(request("x"), 1000)
+		if got := b.pools["desk"].reportWeight; got != 1 {
+			t.Errorf("weight of reports is %.2f, want 1", got)
+		}
+	})
+}
+
 // pacesCase is a load on servers that share machines: each half second, another seventh of them
 // is 2.5 times slower. The target is 0.85 of the ideal.
 func pacesCase(size replaySize) replayCase {
