hoster, balancer: leave canceled second attempts out of the times, and cold servers out of second attempts

Callers could see more second attempts than slow requests, and fewer requests at a server that had just started.

Cause: a second attempt that was canceled after a few ms, since the first one had answered, entered the distribution of times as a short one. A request without an object counts as warm everywhere, so that second attempts took the few requests that a cold server gets.

Evidence: without the change, TestSupersededSecondAttemptIsNoTime sees the earliest delay fall from 107 to 4 ms, and TestNoSecondAttemptAtColdServer a second attempt at the cold server.

Change: canceled second attempts are skipped; canceled first ones still count. A second attempt is refused if the best server is cold.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -91,7 +91,8 @@
 	Repeatable bool
 	// Second marks a second attempt beside the first one. It is refused unless a server that
 	// is warm for the object has a free slot and can answer in time: warming up another one
-	// takes the work of several requests, and has cost others more than it brought.
+	// takes the work of several requests, and has cost others more than it brought. A server
+	// that has just started gets none either: the few requests that it takes are others'.
 	Second bool
 }
 
@@ -114,6 +115,8 @@
 	Stated    observer.Load
 	StatedAge clock.Millis
 	Pace      float64
+	// Second is that of the request.
+	Second bool
 	// newObject means that the object had no known placement, and that the server is the one
 	// that it should go to.
 	newObject bool
@@ -315,10 +318,10 @@
 	choice.Stated, choice.Pace = best.server.stated.Load(), b.observer.Pace(&best.server.stated, now)
 	choice.StatedAge, _ = best.server.stated.Age(now)
 	if req.Second {
-		if !best.warm || best.queueDelay > 0 || p.standingQueue.isStanding(now) || best.estimatedLatency > maxTimeLeftFactor*float64(req.TimeLeft) {
+		if !best.warm || best.server.isCold(now) || best.queueDelay > 0 || p.standingQueue.isStanding(now) || best.estimatedLatency > maxTimeLeftFactor*float64(req.TimeLeft) {
 			return Choice{Refused: true, Reason: ReasonBusy, RetryAfter: minRetryAfter}
 		}
-		choice.wait = &wait{}
+		choice.wait, choice.Second = &wait{}, true
 		return choice
 	}
 	if excess := b.excessDelay(req, c, best, now); excess > 0 {
--- a/pkg/hoster/second.go
+++ b/pkg/hoster/second.go
@@ -82,11 +82,15 @@
 }
 
 // observeTime records the time of an attempt at a warm server with a free slot. One that
-// was given up took at least that long.
+// was given up took at least that long. A second attempt that was given up says nothing: it
+// ends with the first one, however soon that is.
 func (h *Host) observeTime(x balancer.Attempt) {
 	if !x.KnownWarm || x.Choice.InFlight >= x.Choice.Server.Slots {
 		return
 	}
+	if x.Result == balancer.Superseded && x.Choice.Second {
+		return
+	}
 	switch x.Result {
 	case balancer.Answered, balancer.Superseded, balancer.TimedOut:
 		h.hedger.Observe(x.Class, x.Duration)
--- a/pkg/hoster/second_test.go
+++ b/pkg/hoster/second_test.go
@@ -132,3 +132,48 @@
 		f.assertVerdict(t, "little time left", steerer.SecondAllowed)
 	})
 }
+
+// Second attempts that end soon because the first one has answered must not shorten the
+// delays of later ones.
+func TestSupersededSecondAttemptIsNoTime(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		for range 100 {
+			f.hedger.Observe("look", 100)
+		}
+		before, _ := f.hedger.Delays("look", 0)
+		f.countRequests(300)
+		d := f.chooseSecond(f.req, f.first, f.waited)
+		for range 1000 {
+			f.observeTime(balancer.Attempt{Choice: d.Choice, Class: "look", KnownWarm: true, Result: balancer.Superseded, Duration: 3})
+		}
+		if after, _ := f.hedger.Delays("look", 0); after != before {
+			t.Errorf("earliest second attempt after %d ms, want %d", after, before)
+		}
+		for range 60 {
+			f.observeTime(balancer.Attempt{Choice: f.first, Class: "look", KnownWarm: true, Result: balancer.Superseded, Duration: 500})
+		}
+		if after, _ := f.hedger.Delays("look", 0); after < 400 {
+			t.Errorf("earliest second attempt after %d ms, want the time of superseded first ones to count", after)
+		}
+	})
+}
+
+// The few requests that a cold server takes must not go to second attempts, also if they
+// concern no object.
+func TestNoSecondAttemptAtColdServer(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		f.countRequests(300)
+		var list []balancer.Server
+		for _, id := range []string{"s0", "s1"} {
+			s := balancer.Server{ID: id, Service: "desk", Region: "n", Slots: 50}
+			if id != f.first.Server.ID {
+				s.ColdUntil, s.ColdRate = 10*clock.Second, 10
+			}
+			list = append(list, s)
+		}
+		f.balancer.SetServers(list)
+		f.assertVerdict(t, "other server cold", steerer.SecondNoServer)
+		f.clock.Advance(10 * clock.Second)
+		f.assertVerdict(t, "other server warm", steerer.SecondAllowed)
+	})
+}
