relayer: send the rest of a difference of lists that did not fit into a report

Callers could see nothing. After an outage with many changes, all hosts of a region polled the store.

Cause: a difference of two lists of over 32 kB is cut. Its receiver then lies in the gap between the lists, where it may know of objects whose deletion is in no change, so that it got nothing more from other hosts.

Change: a host that has just the first part of a difference says so in its revisions, and gets the rest from any host with the same gap. A change from elsewhere ends that. A host that lies inside its own gap for another reason sends nothing, since its batches would pass for parts of the difference. Hosts of earlier versions report no cut and poll as before.

Test: the whole difference arrives in parts; a host that learned more inside the gap neither gets nor sends the rest.

--- a/pkg/hoster/convert.go
+++ b/pkg/hoster/convert.go
@@ -199,7 +199,7 @@
 func encodeRevisions(list []relayer.Revision) []*schema.Revision {
 	out := make([]*schema.Revision, 0, len(list))
 	for _, r := range list {
-		out = append(out, &schema.Revision{Kind: r.Kind, Changed: r.LastChange, UpTo: r.UpTo, Fingerprint: r.Fingerprint, Epoch: r.Epoch})
+		out = append(out, &schema.Revision{Kind: r.Kind, Changed: r.LastChange, UpTo: r.UpTo, Fingerprint: r.Fingerprint, Epoch: r.Epoch, CutAfter: r.Cut.After, CutUpTo: r.Cut.UpTo})
 	}
 	return out
 }
@@ -207,7 +207,7 @@
 func decodeRevisions(list []*schema.Revision) []relayer.Revision {
 	out := make([]relayer.Revision, 0, len(list))
 	for _, r := range list {
-		out = append(out, relayer.Revision{Kind: r.GetKind(), LastChange: r.GetChanged(), UpTo: r.GetUpTo(), Fingerprint: r.GetFingerprint(), Epoch: r.GetEpoch()})
+		out = append(out, relayer.Revision{Kind: r.GetKind(), LastChange: r.GetChanged(), UpTo: r.GetUpTo(), Fingerprint: r.GetFingerprint(), Epoch: r.GetEpoch(), Cut: relayer.Gap{After: r.GetCutAfter(), UpTo: r.GetCutUpTo()}})
 	}
 	return out
 }
--- a/pkg/relayer/relayer.go
+++ b/pkg/relayer/relayer.go
@@ -73,9 +73,19 @@
 }
 
 // IsCompleteFor reports whether the batch has all changes that a host lacks which has those up to
-// a revision.
-func (b Batch) IsCompleteFor(revision uint64) bool {
-	return b.After <= revision && !b.Gap.contains(revision)
+// a revision. cut is the gap of which the host has the first part, or an empty one.
+func (b Batch) IsCompleteFor(revision uint64, cut Gap) bool {
+	return b.After <= revision && (!b.Gap.contains(revision) || b.Gap == cut)
+}
+
+// CutGap returns the gap of the batch if it has only the first part of the changes in it, or an
+// empty one. The rest may follow from any host with the same gap, since the difference of two
+// lists is the same everywhere.
+func (b Batch) CutGap() Gap {
+	if b.Gap.contains(b.UpTo) {
+		return b.Gap
+	}
+	return Gap{}
 }
 
 // Revision is how current a host's view of a kind is.
@@ -87,6 +97,8 @@
 	LastChange, UpTo uint64
 	// Fingerprint is that of the host's list, if it has applied no change since.
 	Fingerprint uint64
+	// Cut is the gap of which the host has the first part, up to UpTo, and nothing else.
+	Cut Gap
 }
 
 // List describes a list of all objects of a kind.
@@ -128,6 +140,8 @@
 	// gap holds the revisions after which recentChanges may lack deletions, since gapAt.
 	gap   Gap
 	gapAt clock.Millis
+	// cut is the gap of the last batch if that had only the first part of it.
+	cut Gap
 	// remoteLastChange is the latest LastChange that another host reported, and
 	// laggingSince the time since which this host has been behind it.
 	remoteLastChange position
@@ -169,7 +183,7 @@
 	}
 	// A list does not show which objects were deleted before it.
 	clear(k.recentChanges)
-	k.gap = Gap{}
+	k.gap, k.cut = Gap{}, Gap{}
 	k.recentAfter, k.upTo, k.lastChange, k.fingerprint = l.UpTo, l.UpTo, max(k.lastChange, l.LastChange), l.Fingerprint
 }
 
@@ -202,7 +216,7 @@
 	if b.Gap != (Gap{}) {
 		k.gap, k.gapAt = k.gap.union(b.Gap), now
 	}
-	k.upTo = b.UpTo
+	k.upTo, k.cut = b.UpTo, b.CutGap()
 	k.expireChanges(now)
 }
 
@@ -289,7 +303,7 @@
 	var out []Revision
 	for name, k := range r.kinds {
 		if k.upTo > 0 {
-			rev := Revision{Kind: name, Epoch: k.epoch, LastChange: k.lastChange, UpTo: k.upTo}
+			rev := Revision{Kind: name, Epoch: k.epoch, LastChange: k.lastChange, UpTo: k.upTo, Cut: k.cut}
 			if k.upTo == k.recentAfter {
 				rev.Fingerprint = k.fingerprint
 			}
@@ -308,7 +322,7 @@
 	bytesLeft := maxBatchBytes
 	for _, rev := range revisions {
 		k := r.kinds[rev.Kind]
-		if k == nil || k.epoch != rev.Epoch || k.lastChange <= rev.UpTo || !k.hasAllAfter(rev) || k.gap.contains(rev.UpTo) {
+		if k == nil || k.epoch != rev.Epoch || k.lastChange <= rev.UpTo || !k.hasAllAfter(rev) || !k.coversGapFor(rev) {
 			continue
 		}
 		b := k.batchAfter(rev, &bytesLeft)
@@ -325,6 +339,17 @@
 	return rev.UpTo >= k.recentAfter || rev.Fingerprint != 0 && rev.Fingerprint == k.fingerprint
 }
 
+// coversGapFor reports whether the changes are complete for a host although deletions in the gap
+// may be unknown. A host inside the gap may know of objects that they concern, unless it has
+// just the first part of the same difference.
+func (k *kindState) coversGapFor(rev Revision) bool {
+	if k.gap.contains(k.upTo) && k.cut != k.gap {
+		// Further batches would pass for parts of the same difference.
+		return false
+	}
+	return !k.gap.contains(rev.UpTo) || rev.Cut == k.gap
+}
+
 // batchAfter returns the oldest changes after a revision that fit into bytesLeft,
 // and reduces bytesLeft by their size. A batch that is cut ends before the lowest
 // revision that any of the changes left out can have.
--- a/pkg/relayer/relayer_test.go
+++ b/pkg/relayer/relayer_test.go
@@ -292,3 +292,73 @@
 		assertLagging(t, "a batch without an epoch", later, 3000+LagTolerance, true)
 	})
 }
+
+// withCutDifference runs a test with a host that has found more changes by a list than fit into
+// a report.
+func withCutDifference(test func(sender *Relayer)) {
+	sender := New("k")
+	sender.RecordList(List{Kind: "k", Epoch: 1, UpTo: 100, LastChange: 100, Fingerprint: 1})
+	b := Batch{Kind: "k", Epoch: 1, After: 100, UpTo: 400, Gap: Gap{100, 400}}
+	for i := range 200 {
+		b.Changes = append(b.Changes, Change{Name: fmt.Sprint(i), Revision: uint64(101 + i), Content: make([]byte, 300)})
+	}
+	sender.RecordBatch(b, 1000)
+	test(sender)
+}
+
+// receive applies what the sender has for the receiver and returns the number of changes.
+func receive(t *testing.T, sender, receiver *Relayer) int {
+	t.Helper()
+	changes := 0
+	for _, b := range sender.MissingBatches(receiver.Revisions()) {
+		rev := receiver.Revisions()[0]
+		if !b.IsCompleteFor(rev.UpTo, rev.Cut) {
+			t.Errorf("batch up to %d is not complete for a receiver at %d", b.UpTo, rev.UpTo)
+		}
+		receiver.RecordBatch(b, 1000)
+		changes += len(b.Changes)
+	}
+	return changes
+}
+
+// A receiver of the first part of a long difference must get the rest without a poll of the
+// store, which all hosts of a region would make.
+func TestCutDifferenceContinues(t *testing.T) {
+	withCutDifference(func(sender *Relayer) {
+		receiver, changes := New("k"), 0
+		receiver.RecordList(List{Kind: "k", Epoch: 1, UpTo: 100, LastChange: 100})
+		for range 4 {
+			changes += receive(t, sender, receiver)
+		}
+		if rev := receiver.Revisions()[0]; rev.UpTo != 400 || rev.Cut != (Gap{}) || changes != 200 {
+			t.Errorf("receiver at %d with %d changes and cut %v, want 400 with 200 changes and none", rev.UpTo, changes, rev.Cut)
+		}
+	})
+}
+
+// A host that has learned more inside the gap may know of objects whose deletion is in no
+// part of the difference.
+func TestCutDifferenceEndsWithOtherChanges(t *testing.T) {
+	for name, other := range map[string]Batch{
+		"watch": {Kind: "k", Epoch: 1, UpTo: 350, Changes: []Change{{Name: "short", Revision: 350}}},
+		"list":  {Kind: "k", Epoch: 1, UpTo: 350, Gap: Gap{200, 350}, Changes: []Change{{Name: "short", Revision: 350}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCutDifference(func(sender *Relayer) {
+				receiver, next := New("k"), New("k")
+				receiver.RecordList(List{Kind: "k", Epoch: 1, UpTo: 100, LastChange: 100})
+				next.RecordList(List{Kind: "k", Epoch: 1, UpTo: 100, LastChange: 100})
+				receive(t, sender, receiver)
+				receive(t, receiver, next)
+				other.After = receiver.Revisions()[0].UpTo
+				receiver.RecordBatch(other, 1000)
+				if n := receive(t, sender, receiver); n != 0 {
+					t.Errorf("%d changes sent to a host inside the gap, want none", n)
+				}
+				if n := receive(t, receiver, next); n != 0 {
+					t.Errorf("%d changes sent by a host inside the gap, want none", n)
+				}
+			})
+		})
+	}
+}
