hoster: a health check is no load of the server that answers it

Callers could see requests go to another server than the best one.

Cause: a server counts the health check in the load that it states in the response, as it does with requests, and only for requests was one taken off.

Evidence: TestHealthCheckIsNoLoad reads one running request too many without the change.

Change: checkHealth takes one off the running requests.

--- a/pkg/hoster/probe.go
+++ b/pkg/hoster/probe.go
@@ -80,6 +80,8 @@
 	if err != nil {
 		h.cfg.Meter.Add("loads_unreadable", 1)
 	}
+	// The server still counted the health check that it answered.
+	load.Running = max(0, load.Running-1)
 	if v == "" {
 		return 0, load, nil
 	}
