hoster: the first confirmation of the configuration begins the continuity

Callers could see refusals after a start of the machine: a host whose first confirmation came in the first 1.5 s of the machine's clock claimed that it had had the store's changes since 0, and others dropped servers by that.

Cause: the last confirmation was 0 before the first one.

Evidence: TestFirstConfirmationBeginsContinuity gets continuity since 0, and before any confirmation, without the change.

Change: the tracker knows whether there was a confirmation.

--- a/pkg/hoster/feed.go
+++ b/pkg/hoster/feed.go
@@ -208,13 +208,15 @@
 type updateTracker struct {
 	mu          sync.Mutex
 	since, last clock.Millis
+	// confirmed is set from the first confirmation on.
+	confirmed bool
 }
 
 func (u *updateTracker) record(asOf clock.Millis) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if asOf > u.last+maxUpdateGap {
-		u.since = asOf
+	if !u.confirmed || asOf > u.last+maxUpdateGap {
+		u.confirmed, u.since = true, asOf
 	}
 	u.last = max(u.last, asOf)
 }
@@ -223,7 +225,7 @@
 func (u *updateTracker) sinceAt(now clock.Millis) (since clock.Millis, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.since, now-u.last <= maxUpdateGap
+	return u.since, u.confirmed && now-u.last <= maxUpdateGap
 }
 
 // advance sets a time to a later one.
--- a/pkg/hoster/report_test.go
+++ b/pkg/hoster/report_test.go
@@ -373,3 +373,16 @@
 		}
 	})
 }
+
+// A host that starts must not claim that it has had the changes of the store since the
+// beginning of the machine's clock.
+func TestFirstConfirmationBeginsContinuity(t *testing.T) {
+	var u updateTracker
+	if _, ok := u.sinceAt(900); ok {
+		t.Error("continuity before the first confirmation")
+	}
+	u.record(1000)
+	if since, ok := u.sinceAt(1100); !ok || since != 1000 {
+		t.Errorf("continuity since %d, %v, want since 1000", since, ok)
+	}
+}
