screener: count whole headers, and end a request when its response is flushed

Callers could see: a connection that was closed while its small response was not flushed yet, and a refusal of the next pipelined header before the current response; look-ups with a legal header of over 8 kB were refused with 431.

Change: the request ends where net/http sets the idle deadline, which follows the flush, or with its connection. Before the handler runs, the cost of the whole header is reserved, with 503 if there is no room. Room is awaited without the screener's mutex. Look-ups, readiness checks and metrics use the larger of their own limits and those of callers. client_cut is rate limited.

--- a/cmd/catkindyke/commander/clients.go
+++ b/cmd/catkindyke/commander/clients.go
@@ -10,6 +10,7 @@
 	"catkindyke/pkg/accepter"
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/hoster"
+	"catkindyke/pkg/logger"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/reserver"
 	"catkindyke/platform"
@@ -143,9 +144,11 @@
 
 // onCut returns a function that counts and logs a client for which there was no room.
 func (l *clientLimits) onCut(kind string) func(remote, reason string) {
+	// A crowd of clients must not fill the log.
+	log := logger.RateLimited(l.log, func() { l.metrics.Add("log_lines_left_out", 1) })
 	return func(remote, reason string) {
 		l.metrics.Add("clients_cut_"+kind+"_"+reason, 1)
-		l.log.Warn().Str("client", remote).Str("kind", kind).Str("reason", reason).Msg("client_cut")
+		log.Warn().Str("client", remote).Str("kind", kind).Str("reason", reason).Msg("client_cut")
 	}
 }
 
--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -61,10 +61,11 @@
 	// configuration, and always to the platform's calls.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
-	// maxHeaderBytes limits a request header, whatever is configured, and maxOwnHeaderBytes
-	// that of look-ups, readiness checks and metrics.
-	maxHeaderBytes    = 1 << 20
-	maxOwnHeaderBytes = 8 << 10
+	// maxHeaderBytes limits a request header, whatever is configured. ownHeaderBytes and
+	// defaultHeaderTimeout limit those of look-ups, readiness checks and metrics if callers'
+	// headers have no larger limits.
+	maxHeaderBytes = 1 << 20
+	ownHeaderBytes = 8 << 10
 )
 
 func (c *Commander) hostCommand() *ffcli.Command {
@@ -229,7 +230,7 @@
 		log.Warn().Str("caller", remote).Str("reason", reason).Msg("request_refused_by_header")
 	}
 	callerScreener := screener.New(screener.Config{Limits: callerLimits(h), OnRefused: onRefused})
-	ownScreener := screener.New(screener.Config{Limits: ownLimits, OnRefused: onRefused, IgnoreBodies: true})
+	ownScreener := screener.New(screener.Config{Limits: ownLimits(h), OnRefused: onRefused, IgnoreBodies: true})
 	var callers *callerServer
 	for i, l := range handlers {
 		if l.address == "" {
@@ -270,10 +271,17 @@
 	return len(line), nil
 }
 
-// ownLimits returns the limits for look-ups, readiness checks and metrics.
-func ownLimits() screener.Limits {
-	return screener.Limits{
-		HeaderBytes: maxOwnHeaderBytes, HeaderTimeout: clock.FromDuration(defaultHeaderTimeout), IdleTimeout: clock.FromDuration(defaultIdleTimeout),
+// ownLimits returns a function that returns the current limits for look-ups, readiness checks and
+// metrics. A request that callers may send elsewhere is legal there too.
+func ownLimits(h *hoster.Host) func() screener.Limits {
+	callers := callerLimits(h)
+	return func() screener.Limits {
+		l := callers()
+		return screener.Limits{
+			HeaderBytes:   max(ownHeaderBytes, l.HeaderBytes),
+			HeaderTimeout: max(clock.FromDuration(defaultHeaderTimeout), l.HeaderTimeout),
+			IdleTimeout:   max(clock.FromDuration(defaultIdleTimeout), l.IdleTimeout),
+		}
 	}
 }
 
--- a/pkg/screener/screener.go
+++ b/pkg/screener/screener.go
@@ -82,7 +82,6 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.isServing.Store(true)
-			defer c.endRequest()
 			if status, reason := s.admit(c); status != 0 {
 				s.cfg.OnRefused(r.RemoteAddr, reason)
 				LimitUnreadBody(w, r, 0)
@@ -123,11 +122,12 @@
 
 // admit reserves the memory of the request that a handler starts to serve, and checks its header.
 func (s *Screener) admit(c *conn) (status int, reason string) {
-	if status, reason = s.checkHeader(c.nextHeader()); status != 0 {
+	h := c.nextHeader()
+	if status, reason = s.checkHeader(h); status != 0 {
 		return status, reason
 	}
 	c.held.SetPhase(reserver.Serving)
-	if c.held.Reserve(reserver.Request, requestBytes) != nil {
+	if c.held.Reserve(reserver.Request, requestBytes) != nil || !c.reserveHeader(h) {
 		return http.StatusServiceUnavailable, "no_room"
 	}
 	return 0, ""
@@ -171,7 +171,7 @@
 	// held is the connection's part of the budget, nil if there is none.
 	held     *accepter.Conn
 	screener *Screener
-	// isServing is set while a handler serves a request.
+	// isServing is set from the start of a request's handler until its response is flushed.
 	isServing atomic.Bool
 
 	mu      sync.Mutex
@@ -194,32 +194,50 @@
 	if n > 0 {
 		c.mu.Lock()
 		c.headers = c.scanner.scan(p[:n], c.headers)
-		c.checkUnfinished()
+		h := c.scanner.unfinishedHeader()
+		isRefused := c.refusal != 0
 		c.mu.Unlock()
+		if !isRefused && h.size > 0 {
+			c.checkUnfinished(h)
+		}
 	}
 	return n, err
 }
 
 // checkUnfinished reserves the memory of a header that is being read.
-func (c *conn) checkUnfinished() {
-	h := c.scanner.unfinishedHeader()
-	if c.refusal != 0 || h.size == 0 {
-		return
-	}
+func (c *conn) checkUnfinished(h headerInfo) {
 	if limit := c.screener.cfg.Limits().HeaderBytes; limit > 0 && h.size > limit {
-		c.refusal, c.reason = http.StatusRequestHeaderFieldsTooLarge, "header_too_large"
-		return
+		c.setRefusal(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
+	} else if !c.reserveHeader(h) {
+		c.setRefusal(http.StatusServiceUnavailable, "no_room")
 	}
+}
+
+func (c *conn) setRefusal(status int, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusal, c.reason = status, reason
+}
+
+// reserveHeader reserves the memory of a header beyond what its request covers, and reports whether
+// there is room. Room is awaited without the mutex.
+func (c *conn) reserveHeader(h headerInfo) bool {
+	c.mu.Lock()
 	more := h.size + fieldBytes*h.fields - requestBytes - c.headerBytes
 	if c.held == nil || more <= 0 {
-		return
+		c.mu.Unlock()
+		return true
 	}
 	more = max(more, requestBytes)
-	if c.held.Reserve(reserver.Header, more) != nil {
-		c.refusal, c.reason = http.StatusServiceUnavailable, "no_room"
-		return
-	}
 	c.headerBytes += more
+	c.mu.Unlock()
+	if c.held.Reserve(reserver.Header, more) == nil {
+		return true
+	}
+	c.mu.Lock()
+	c.headerBytes = max(0, c.headerBytes-more)
+	c.mu.Unlock()
+	return false
 }
 
 // refuseHeader sends the refusal of an unfinished header. While a handler serves an earlier
@@ -318,6 +336,9 @@
 	switch remaining := time.Until(t); {
 	case t.IsZero():
 	case remaining > idleTimeoutPlaceholder-placeholderTolerance:
+		// net/http has flushed the response. Before that, the connection isn't idle. A
+		// connection that is closed after a response gives back its part by that.
+		c.endRequest()
 		t = deadlineAfter(limits.IdleTimeout)
 	case remaining > headerTimeoutPlaceholder-placeholderTolerance:
 		t = deadlineAfter(limits.HeaderTimeout)
--- a/pkg/screener/screener_test.go
+++ b/pkg/screener/screener_test.go
@@ -234,3 +234,44 @@
 	close(release)
 	assertResponses(t, <-first, "200 served", "503")
 }
+
+// Guards against headers that aren't counted because they end within one read.
+func TestHeaderInOneRead(t *testing.T) {
+	var fields strings.Builder
+	for i := range 500 {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	request := "GET /a HTTP/1.1\r\nHost: a\r\n" + fields.String() + "\r\n"
+	address, _ := startBudgeted(t, 100<<10, Limits{}, func() {})
+	assertResponses(t, send(t, address, request, len(request)), "503")
+	address, _ = startBudgeted(t, 1<<20, Limits{}, func() {})
+	assertResponses(t, send(t, address, request+request, len(request)), "200 served", "200 served")
+}
+
+// Guards against connections that end for others before their response is sent.
+func TestResponseIsFlushedBeforeIdle(t *testing.T) {
+	budget := reserver.New(reserver.Config{Bytes: 1 << 20, Conns: 1, Descriptors: 10, ConnBytes: 1})
+	s := New(Config{Limits: func() Limits { return Limits{} }, OnRefused: func(string, string) {}})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") })}
+	s.Install(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// net/http flushes the response after the handler, which takes longer here.
+	denied := make(chan struct{})
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+			_, _ = io.ReadAll(c)
+			_ = c.Close()
+		}
+		close(denied)
+	})
+	cfg := accepter.Config{Budget: budget, Clock: (&clock.Manual{}).Clock(), OnCut: func(string, string) {}}
+	go func() { _ = server.Serve(s.WrapListener(accepter.Wrap(l, cfg))) }()
+	t.Cleanup(func() { _ = server.Close() })
+	assertResponses(t, send(t, l.Addr().String(), plainRequest, 1000), "200 served")
+	<-denied
+}
