host: budgets of their own for look-ups, and for readiness checks and metrics

Callers and the platform could see: callers' legal long requests up to the limit of connections (883 at 184 MB) took the host out of look-ups and of readiness. Cause: one budget for all HTTP ports. Change: M / 32 for look-ups and M / 64 for readiness checks and metrics, with descriptors of their own, taken from callers' M / 4 and F / 2. The limit of callers' connections is 883 as before; a limit that counts kernel memory only for connections that send or receive isn't part of this. `go test ./cmd/catkindyke/commander -run TestClientBudgets`.

--- a/cmd/catkindyke/commander/clients.go
+++ b/cmd/catkindyke/commander/clients.go
@@ -27,11 +27,19 @@
 	// fifths of garbage, the heap of the smallest machines stays below its limit.
 	callerMemoryDivisor = 4
 	peerMemoryDivisor   = 12
+	// lookupMemoryDivisor and checkMemoryDivisor give the parts of the machine's memory for
+	// look-ups, and for readiness checks and metrics. They are taken from that of callers, so
+	// that callers' legal requests alone don't take a host out of use.
+	lookupMemoryDivisor = 32
+	checkMemoryDivisor  = 64
 	// callerDescriptors is the part of the descriptors for callers and the connections to
-	// servers that their requests use, idleDescriptors that for idle connections to servers,
+	// servers that their requests use, lookupDescriptors and checkDescriptors those for
+	// look-ups and for readiness checks and metrics, idleDescriptors that for idle connections to servers,
 	// and peerDescriptors that for connections from other hosts. The rest is for
 	// connections to other hosts and the store.
-	callerDescriptors = 0.5
+	callerDescriptors = 0.44
+	lookupDescriptors = 0.04
+	checkDescriptors  = 0.02
 	idleDescriptors   = 0.2
 	peerDescriptors   = 0.15
 	// connMemoryDivisor gives the part of the clients' memory that connections may take.
@@ -67,12 +75,28 @@
 	}
 }
 
-// callerBudget returns the limits for callers, look-ups, readiness checks and metrics together.
+// callerBudget returns the limits for callers.
 func callerBudget(s platform.Settings) reserver.Config {
-	bytes := s.MemoryBytes / callerMemoryDivisor
+	bytes := s.MemoryBytes/callerMemoryDivisor - s.MemoryBytes/lookupMemoryDivisor - s.MemoryBytes/checkMemoryDivisor
+	cfg := ownBudget(s, bytes, callerDescriptors)
+	cfg.Conns = max(1, min(cfg.Conns, int(kernelMemoryFraction*float64(s.MemoryBytes)/kernelConnBytes)))
+	return cfg
+}
+
+// lookupBudget returns the limits for look-ups, and checkBudget those for readiness checks and
+// metrics.
+func lookupBudget(s platform.Settings) reserver.Config {
+	return ownBudget(s, s.MemoryBytes/lookupMemoryDivisor, lookupDescriptors)
+}
+
+func checkBudget(s platform.Settings) reserver.Config {
+	return ownBudget(s, s.MemoryBytes/checkMemoryDivisor, checkDescriptors)
+}
+
+func ownBudget(s platform.Settings, bytes int64, descriptors float64) reserver.Config {
 	return reserver.Config{
-		Bytes: bytes, ConnBytes: callerConnBytes, Descriptors: max(2, int(callerDescriptors*float64(s.MaxDescriptors))),
-		Conns: max(1, min(int(bytes/connMemoryDivisor/callerConnBytes), int(kernelMemoryFraction*float64(s.MemoryBytes)/kernelConnBytes))),
+		Bytes: bytes, ConnBytes: callerConnBytes, Descriptors: max(2, int(descriptors*float64(s.MaxDescriptors))),
+		Conns: max(1, int(bytes/connMemoryDivisor/callerConnBytes)),
 	}
 }
 
@@ -85,9 +109,10 @@
 	}
 }
 
-// clientLimits holds what clients may take. Callers can't take the room of other hosts.
+// clientLimits holds what clients may take. Callers can't take the room of look-ups, readiness
+// checks, metrics and other hosts.
 type clientLimits struct {
-	callers, peers *reserver.Budget
+	callers, lookups, checks, peers *reserver.Budget
 	// hosts holds the IP addresses of all hosts that had an entry in the store.
 	hosts sync.Map
 	// clk is read several times for each request. Unlike the clock of the start of the
@@ -101,14 +126,18 @@
 	callers, peers := callerBudget(s), peerBudget(s)
 	log.Info().Int64("caller_bytes", callers.Bytes).Int("caller_connections", min(callers.Conns, callers.Descriptors)).
 		Int64("host_bytes", peers.Bytes).Int("host_connections", min(peers.Conns, peers.Descriptors)).Msg("client_limits")
-	return &clientLimits{callers: reserver.New(callers), peers: reserver.New(peers), clk: clock.New(), metrics: metrics, log: log}
+	return &clientLimits{
+		callers: reserver.New(callers), lookups: reserver.New(lookupBudget(s)), checks: reserver.New(checkBudget(s)), peers: reserver.New(peers),
+		clk: clock.New(), metrics: metrics, log: log,
+	}
 }
 
-// wrapCallers bounds the connections of a listener for HTTP.
-func (l *clientLimits) wrapCallers(inner net.Listener) net.Listener {
+// wrapHTTP bounds the connections of a listener for HTTP by a budget. kind names its clients in
+// metrics and the log.
+func (l *clientLimits) wrapHTTP(inner net.Listener, budget *reserver.Budget, kind string) net.Listener {
 	return accepter.Wrap(inner, accepter.Config{
-		Budget: l.callers, Clock: l.clk, ReceiveBuffer: receiveBuffer, LargeReceiveBuffer: largeReceiveBuffer, SendBuffer: sendBuffer,
-		WriteTimeout: writeTimeout, OnCut: l.onCut("caller"),
+		Budget: budget, Clock: l.clk, ReceiveBuffer: receiveBuffer, LargeReceiveBuffer: largeReceiveBuffer, SendBuffer: sendBuffer,
+		WriteTimeout: writeTimeout, OnCut: l.onCut(kind),
 	})
 }
 
@@ -154,7 +183,7 @@
 
 // recordUsage sets the gauges of what is reserved.
 func (l *clientLimits) recordUsage() {
-	for kind, budget := range map[string]*reserver.Budget{"caller": l.callers, "host": l.peers} {
+	for kind, budget := range map[string]*reserver.Budget{"caller": l.callers, "lookup": l.lookups, "check": l.checks, "host": l.peers} {
 		usage := budget.Usage()
 		l.metrics.Set("clients_connections_"+kind, int64(usage.Conns))
 		for use, n := range usage.Bytes {
--- a/cmd/catkindyke/commander/clients_test.go
+++ b/cmd/catkindyke/commander/clients_test.go
@@ -18,19 +18,22 @@
 	} {
 		s := platform.Settings{MemoryBytes: int64(c.memoryMB) << 20, MaxDescriptors: c.descriptors}
 		setClientDefaults(&s)
-		callers, hosts := callerBudget(s), peerBudget(s)
+		callers, hosts, lookups, checks := callerBudget(s), peerBudget(s), lookupBudget(s), checkBudget(s)
+		if n := min(checks.Conns, checks.Descriptors); n < 8 {
+			t.Errorf("%s: %d connections of readiness checks and metrics, want at least 8", name, n)
+		}
 		if n := min(callers.Conns, callers.Descriptors); n < c.callers {
 			t.Errorf("%s: %d connections of callers, want at least %d", name, n, c.callers)
 		}
 		if n := min(hosts.Conns, hosts.Descriptors); n < c.hosts {
 			t.Errorf("%s: %d connections of other hosts, want at least %d", name, n, c.hosts)
 		}
-		heap := float64(callers.Bytes+hosts.Bytes) * (1 + gcPercent/100.0)
+		heap := float64(callers.Bytes+lookups.Bytes+checks.Bytes+hosts.Bytes) * (1 + gcPercent/100.0)
 		if limit := memoryLimitFraction * float64(s.MemoryBytes); heap > 0.7*limit {
 			t.Errorf("%s: a heap of %.0f bytes for clients, want at most 0.7 of %.0f", name, heap, limit)
 		}
 		idle := int(idleDescriptors * float64(s.MaxDescriptors))
-		if n := callers.Descriptors + hosts.Descriptors + idle; n > s.MaxDescriptors*9/10 {
+		if n := callers.Descriptors + lookups.Descriptors + checks.Descriptors + hosts.Descriptors + idle; n > s.MaxDescriptors*9/10 {
 			t.Errorf("%s: %d of %d descriptors for clients and servers", name, n, s.MaxDescriptors)
 		}
 	}
--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -27,6 +27,7 @@
 	"catkindyke/pkg/logger"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/reserver"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/screener"
 	"catkindyke/platform"
@@ -216,14 +217,16 @@
 	handlers := []struct {
 		address string
 		handler http.Handler
+		budget  *reserver.Budget
+		kind    string
 	}{
-		{settings.CallerAddress, h.Steerer()},
-		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) })},
-		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready)},
+		{settings.CallerAddress, h.Steerer(), clients.callers, "caller"},
+		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) }), clients.lookups, "lookup"},
+		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready), clients.checks, "check"},
 		{settings.MetricsAddress, platform.MetricsHandler(func(w io.Writer) {
 			clients.recordUsage()
 			metrics.WriteText(w)
-		})},
+		}), clients.checks, "check"},
 	}
 	onRefused := func(remote, reason string) {
 		metrics.Add("headers_refused", 1)
@@ -248,7 +251,7 @@
 			headerScreener = callerScreener
 		}
 		headerScreener.Install(server)
-		listener = headerScreener.WrapListener(clients.wrapCallers(listener))
+		listener = headerScreener.WrapListener(clients.wrapHTTP(listener, l.budget, l.kind))
 		if i == 0 {
 			callers = &callerServer{server: server, listener: listener}
 			server.ConnState = callers.trackConn
