steerer: keep the reset until the end of a response is flushed

An HTTP/1.0 caller could see: a response that looked whole without its last kilobytes. The reset that marks a cut response was disarmed while they were still in net/http's buffer. They are flushed first, and an error ends the connection. Found by reading; no test shows the fault. `go test ./pkg/steerer` passes.

--- a/pkg/steerer/answer.go
+++ b/pkg/steerer/answer.go
@@ -92,7 +92,12 @@
 		// Only a reset tells that it is cut, also by a panic or the end of this process.
 		s.cfg.ResetOnClose(c.r.Context(), true)
 	}
-	if _, err := io.Copy(c.w, resp.Stream); err != nil {
+	_, err := io.Copy(c.w, resp.Stream)
+	if err == nil && endsWithConn {
+		// The reset must stay until the last bytes have left net/http's buffer.
+		err = http.NewResponseController(c.w).Flush()
+	}
+	if err != nil {
 		s.cfg.Log.Warn().Str("request", c.id).Str("server", c.choice.Server.ID).Err(err).Msg("answer_cut")
 		// A truncated response must not look complete.
 		panic(http.ErrAbortHandler)
