--- a/cmd/catkindyke/commander/host.go
+++ b/cmd/catkindyke/commander/host.go
@@ -27,6 +27,7 @@
 	"catkindyke/pkg/logger"
 	"catkindyke/pkg/meter"
 	"catkindyke/pkg/rationer"
+	"catkindyke/pkg/reserver"
 	"catkindyke/pkg/schema"
 	"catkindyke/pkg/screener"
 	"catkindyke/platform"
@@ -61,10 +62,11 @@
 	// configuration, and always to the platform's calls.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
-	// maxHeaderBytes limits a request header, whatever is configured, and maxOwnHeaderBytes
-	// that of look-ups, readiness checks and metrics.
-	maxHeaderBytes    = 1 << 20
-	maxOwnHeaderBytes = 8 << 10
+	// maxHeaderBytes limits a request header, whatever is configured. ownHeaderBytes and
+	// defaultHeaderTimeout limit those of look-ups, readiness checks and metrics if callers'
+	// headers have no larger limits.
+	maxHeaderBytes = 1 << 20
+	ownHeaderBytes = 8 << 10
 )
 
 func (c *Commander) hostCommand() *ffcli.Command {
@@ -215,21 +217,23 @@
 	handlers := []struct {
 		address string
 		handler http.Handler
+		budget  *reserver.Budget
+		kind    string
 	}{
-		{settings.CallerAddress, h.Steerer()},
-		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) })},
-		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready)},
+		{settings.CallerAddress, h.Steerer(), clients.callers, "caller"},
+		{settings.LookupAddress, platform.LookupHandler(func(_, region, zone string) ([]string, clock.Millis) { return h.Lookup(region, zone) }), clients.lookups, "lookup"},
+		{settings.ReadinessAddress, platform.ReadinessHandler(h.Ready), clients.checks, "check"},
 		{settings.MetricsAddress, platform.MetricsHandler(func(w io.Writer) {
 			clients.recordUsage()
 			metrics.WriteText(w)
-		})},
+		}), clients.checks, "check"},
 	}
 	onRefused := func(remote, reason string) {
 		metrics.Add("headers_refused", 1)
 		log.Warn().Str("caller", remote).Str("reason", reason).Msg("request_refused_by_header")
 	}
 	callerScreener := screener.New(screener.Config{Limits: callerLimits(h), OnRefused: onRefused})
-	ownScreener := screener.New(screener.Config{Limits: ownLimits, OnRefused: onRefused, IgnoreBodies: true})
+	ownScreener := screener.New(screener.Config{Limits: ownLimits(h), OnRefused: onRefused, IgnoreBodies: true})
 	var callers *callerServer
 	for i, l := range handlers {
 		if l.address == "" {
@@ -247,7 +251,7 @@
 			headerScreener = callerScreener
 		}
 		headerScreener.Install(server)
-		listener = headerScreener.WrapListener(clients.wrapCallers(listener))
+		listener = headerScreener.WrapListener(clients.wrapHTTP(listener, l.budget, l.kind))
 		if i == 0 {
 			callers = &callerServer{server: server, listener: listener}
 			server.ConnState = callers.trackConn
@@ -270,10 +274,17 @@
 	return len(line), nil
 }
 
-// ownLimits returns the limits for look-ups, readiness checks and metrics.
-func ownLimits() screener.Limits {
-	return screener.Limits{
-		HeaderBytes: maxOwnHeaderBytes, HeaderTimeout: clock.FromDuration(defaultHeaderTimeout), IdleTimeout: clock.FromDuration(defaultIdleTimeout),
+// ownLimits returns a function that returns the current limits for look-ups, readiness checks and
+// metrics. A request that callers may send elsewhere is legal there too.
+func ownLimits(h *hoster.Host) func() screener.Limits {
+	callers := callerLimits(h)
+	return func() screener.Limits {
+		l := callers()
+		return screener.Limits{
+			HeaderBytes:   max(ownHeaderBytes, l.HeaderBytes),
+			HeaderTimeout: max(clock.FromDuration(defaultHeaderTimeout), l.HeaderTimeout),
+			IdleTimeout:   max(clock.FromDuration(defaultIdleTimeout), l.IdleTimeout),
+		}
 	}
 }
 
