--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -64,7 +64,7 @@
 	// which entries of servers expire in an outage, two renewal intervals of 1.5 s.
 	maxConfigAgeWithoutStore clock.Millis = 2500
 	// hostsToWake is the number of hosts out of contact that are called at once when the
-	// store answers again. Any of them tells which servers left in calm.
+	// store answers again. Any of them tells which servers left while the store was available.
 	hostsToWake = 4
 	// maxUpdateGap is the longest time between two confirmations of the configuration for
 	// a host to count as having had all changes in between. The first host polls each
--- a/pkg/hoster/retry_test.go
+++ b/pkg/hoster/retry_test.go
@@ -112,7 +112,7 @@
 // TestRetryBudgetExceeded guards against hosts that spend parts of the retry budget that
 // others have spent or hold.
 func TestRetryBudgetExceeded(t *testing.T) {
-	const calm, trouble = 10 * clock.Second, 4 * clock.Second
+	const normal, trouble = 10 * clock.Second, 4 * clock.Second
 	cases := []struct {
 		name string
 		play func(f *retryFleet)
@@ -165,7 +165,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			withRetryFleet(t, func(f *retryFleet) {
 				f.start(f.names)
-				f.run(calm, false)
+				f.run(normal, false)
 				f.run(trouble, true)
 				c.play(f)
 				f.run(12*clock.Second, true)
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -197,13 +197,14 @@
 }
 
 // Remove drops an entry. During and shortly after an outage it marks the entry as
-// missing instead, unless another host shows that it was removed in calm.
+// missing instead, unless another host shows that it was removed while the store was
+// available.
 func (r *Registrar) Remove(id string, now clock.Millis) {
 	e, ok := r.entries[id]
 	if !ok {
 		return
 	}
-	if r.IsRecovering(now) && !r.wasCalm(now, now) {
+	if r.IsRecovering(now) && !r.wasStoreAvailable(now, now) {
 		if e.missingSince < 0 {
 			e.missingSince = now
 			r.entries[id] = e
@@ -224,21 +225,22 @@
 	return r.inOutage || now-r.lastOutageEnd < recoveryTime
 }
 
-// wasCalm reports whether an entry that was missing at a time was removed in calm.
-func (r *Registrar) wasCalm(missingAt, now clock.Millis) bool {
+// wasStoreAvailable reports whether an entry that was missing at a time was removed while the
+// store was available.
+func (r *Registrar) wasStoreAvailable(missingAt, now clock.Millis) bool {
 	return now-r.restoredAt >= RestoreGrace && r.continuity.shows(missingAt, now)
 }
 
 // Expire drops the entries that are still missing after missingGrace, or recoveryTime
-// after the last outage, or as soon as another host shows that they were removed in calm. It
-// reports whether there were any.
+// after the last outage, or as soon as another host shows that they were removed while the store
+// was available. It reports whether there were any.
 func (r *Registrar) Expire(now clock.Millis) bool {
 	dropped := false
 	for id, e := range r.entries {
 		if e.missingSince < 0 {
 			continue
 		}
-		if r.wasCalm(e.missingSince, now) || !r.inOutage && (now-e.missingSince >= missingGrace || !r.IsRecovering(now)) {
+		if r.wasStoreAvailable(e.missingSince, now) || !r.inOutage && (now-e.missingSince >= missingGrace || !r.IsRecovering(now)) {
 			r.drop(id, now)
 			dropped = true
 		}
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -185,9 +185,9 @@
 	assertHas(t, r, "removed later than that", "b", false)
 }
 
-// A host that was cut off kept entries for 2.1 s that had been removed in calm, as another host
-// knew. A server that left got requests that long after the cut.
-func TestRemovedInCalmElsewhere(t *testing.T) {
+// A host that was cut off kept entries for 2.1 s that had been removed while the store was
+// available, as another host knew. A server that left got requests that long after the cut.
+func TestRemovedElsewhereWhileStoreWasAvailable(t *testing.T) {
 	for step, test := range map[string]struct {
 		since, until clock.Millis
 		restored     bool
