--- a/pkg/steerer/second_test.go
+++ b/pkg/steerer/second_test.go
@@ -264,7 +264,7 @@
 // a second server.
 func TestLateTimerAsksAgain(t *testing.T) {
 	manual := &clock.Manual{}
-	r := &race{s: New(Config{Clock: manual.Clock()}), dueAt: 100}
+	r := &race{s: New(Config{Clock: manual.Clock()}), dueAt: 100, nextDelay: 700, closed: true}
 	manual.Advance(100 + clock.Second)
 	if r.startSecond() || r.delay != minSecondDelay {
 		t.Errorf("a second attempt starts or is decided on in %d ms, want a decision in %d ms", r.delay, minSecondDelay)
