reserver: bound requests that are served instead of idle connections

Callers could see: connections above 883 closed at 184 MB although the others were idle, because the limit assumed 64 kB of kernel buffers for each. Only connections with a request that is served can fill them.

Change: the limit of 0.3 M / 64 kB holds for requests that are served; above it, the slowest one ends, or the new one gets 503 after a second. Connections of callers may take 0.66 of their memory: 1,578 at 184 MB and 4,100 descriptors (883 before; TestClientBudgets asks for 1,500). Left: with that many idle connections, bodies beyond 8 kB have 3 MB.

Evidence: TestNoLimitExceeded draws the limit; TestActiveConnections.

--- a/cmd/catkindyke/commander/clients.go
+++ b/cmd/catkindyke/commander/clients.go
@@ -42,13 +42,16 @@
 	checkDescriptors  = 0.02
 	idleDescriptors   = 0.2
 	peerDescriptors   = 0.15
-	// connMemoryDivisor gives the part of the clients' memory that connections may take.
+	// connMemoryDivisor gives the part of the clients' memory that connections may take, and
+	// callerConnMemory that of callers, which keep many idle connections.
 	connMemoryDivisor = 2
+	callerConnMemory  = 0.66
 	// callerConnBytes and peerConnBytes are the memory of a connection without a request.
 	callerConnBytes = 16 << 10
 	peerConnBytes   = 24 << 10
 	// kernelMemoryFraction is the part of the machine's memory for the kernel's buffers,
-	// and kernelConnBytes what a connection takes of it; few fill both of their buffers.
+	// and kernelConnBytes what a connection with a request takes of it; few fill both of their
+	// buffers, and those of idle connections are empty.
 	kernelMemoryFraction = 0.3
 	kernelConnBytes      = 64 << 10
 
@@ -79,7 +82,8 @@
 func callerBudget(s platform.Settings) reserver.Config {
 	bytes := s.MemoryBytes/callerMemoryDivisor - s.MemoryBytes/lookupMemoryDivisor - s.MemoryBytes/checkMemoryDivisor
 	cfg := ownBudget(s, bytes, callerDescriptors)
-	cfg.Conns = max(1, min(cfg.Conns, int(kernelMemoryFraction*float64(s.MemoryBytes)/kernelConnBytes)))
+	cfg.Conns = max(1, int(callerConnMemory*float64(bytes)/callerConnBytes))
+	cfg.Active = max(1, int(kernelMemoryFraction*float64(s.MemoryBytes)/kernelConnBytes))
 	return cfg
 }
 
--- a/cmd/catkindyke/commander/clients_test.go
+++ b/cmd/catkindyke/commander/clients_test.go
@@ -12,7 +12,7 @@
 func TestClientBudgets(t *testing.T) {
 	for name, c := range map[string]struct{ memoryMB, descriptors, callers, hosts int }{
 		"test":          {64, 400, 100, 50},
-		"smallest":      {184, 3900, 800, 300},
+		"smallest":      {184, 3900, 1500, 300},
 		"usual":         {424, 8000, 2000, 600},
 		"no limits set": {0, 0, 1000, 400},
 	} {
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -91,6 +91,9 @@
 	Conns       int
 	Descriptors int
 	ConnBytes   int64
+	// Active limits the connections with a request that is served, whose kernel buffers may be
+	// full. 0 sets no limit.
+	Active int
 }
 
 // Budget holds what clients may take together. Its methods may be called by several goroutines.
@@ -105,8 +108,10 @@
 	conns  int
 	// forwarded is the number of requests that take a connection to a server.
 	forwarded int
-	holders   map[*Holder]struct{}
-	clients   map[string]*client
+	// active is the number of holders with a request, and activeEnding that of those which end.
+	active, activeEnding int
+	holders              map[*Holder]struct{}
+	clients              map[string]*client
 	// opened counts the holders that were opened.
 	opened int64
 	// searchAgain is the time before which no victims are searched for bytes.
@@ -134,6 +139,8 @@
 	phase          Phase
 	// isForwarded is set while a request takes a connection to a server.
 	isForwarded bool
+	// isActive is set from the reservation of a request to its end.
+	isActive bool
 	// hasServed is set after the first complete request.
 	hasServed bool
 	// since is the time of the last progress or change of the phase, and partial the number
@@ -246,13 +253,46 @@
 	if h.ending || !b.isOpen(h) {
 		return nil, Denied
 	}
+	isNew := use == Request && !h.isActive
+	if isNew && b.cfg.Active > 0 && b.active >= b.cfg.Active {
+		return b.endActive(h, now), Wait
+	}
 	if b.fits(use, n) {
 		b.add(h, use, n)
+		if isNew {
+			h.isActive = true
+			b.active++
+		}
 		return nil, Granted
 	}
 	return b.makeRoom(search{holder: h, client: h.client, isTrusted: h.IsTrusted, large: !use.isSmall(), now: now}, use, n)
 }
 
+// endActive chooses a request that ends for that of h, unless one ends already.
+func (b *Budget) endActive(h *Holder, now clock.Millis) (victims []*Holder) {
+	if b.active-b.activeEnding < b.cfg.Active || now < b.searchAgain {
+		return nil
+	}
+	v := b.victim(search{holder: h, client: h.client, isTrusted: h.IsTrusted, conn: true, active: true, now: now})
+	if v == nil {
+		b.searchAgain = now + searchInterval
+		return nil
+	}
+	b.end(v)
+	return []*Holder{v}
+}
+
+// deactivate records that a holder has no request.
+func (b *Budget) deactivate(h *Holder) {
+	if h.isActive {
+		h.isActive = false
+		b.active--
+		if h.ending {
+			b.activeEnding--
+		}
+	}
+}
+
 // TryReserve reserves bytes for a holder if there is room, and ends no other holder.
 func (b *Budget) TryReserve(h *Holder, use Use, n int64) bool {
 	b.mu.Lock()
@@ -308,6 +348,9 @@
 	}
 	h.ending = true
 	b.ending += h.sum
+	if h.isActive {
+		b.activeEnding++
+	}
 }
 
 func (b *Budget) add(h *Holder, use Use, n int64) {
@@ -357,6 +400,7 @@
 		b.release(h, use, h.held[use])
 	}
 	b.endForward(h)
+	b.deactivate(h)
 	h.hasServed = true
 	h.setPhase(Idle, now)
 }
@@ -372,6 +416,7 @@
 		b.release(h, use, h.held[use])
 	}
 	b.endForward(h)
+	b.deactivate(h)
 	b.closeConn(h)
 	delete(b.holders, h)
 	if h.client.holders--; h.client.holders == 0 {
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -63,7 +63,7 @@
 // assertSound checks that no limit is exceeded and that the sums are those of the holders.
 func (f *fixture) assertSound() {
 	var total, ending int64
-	conns, forwarded := 0, 0
+	conns, forwarded, active, activeEnding := 0, 0, 0, 0
 	for h := range f.holders {
 		total += h.sum
 		if h.ending {
@@ -75,10 +75,19 @@
 		if h.isForwarded {
 			forwarded++
 		}
+		if h.isActive {
+			active++
+		}
+		if h.isActive && h.ending {
+			activeEnding++
+		}
 	}
 	if total != f.total || ending != f.ending || conns != f.conns || forwarded != f.forwarded {
 		f.t.Fatalf("sums %d, %d, %d, %d; holders have %d, %d, %d, %d", f.total, f.ending, f.conns, f.forwarded, total, ending, conns, forwarded)
 	}
+	if active != f.active || activeEnding != f.activeEnding || (f.cfg.Active > 0 && active > f.cfg.Active) {
+		f.t.Fatalf("%d requests, %d of them end, holders have %d and %d", f.active, f.activeEnding, active, activeEnding)
+	}
 	if total > f.cfg.Bytes || conns > f.cfg.Conns || conns+forwarded > f.cfg.Descriptors {
 		f.t.Fatalf("%d bytes, %d connections and %d forwarded requests exceed %+v", total, conns, forwarded, f.cfg)
 	}
@@ -89,6 +98,7 @@
 func TestNoLimitExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFixture(t, rapid.Int64Range(5*connBytes, 60*connBytes).Draw(t, "bytes"), rapid.IntRange(2, 12).Draw(t, "conns"))
+		f.cfg.Active = rapid.IntRange(0, 4).Draw(t, "active")
 		holder := func(t *rapid.T) *Holder {
 			if len(f.open) == 0 {
 				t.Skip("no connection")
@@ -308,3 +318,31 @@
 	_, victims, d = f.Open(Client{Address: "a"}, f.now)
 	assertVictims(t, "idle connection of another address", victims, d, Denied)
 }
+
+// Guards against requests whose kernel buffers take more memory than there is, and against idle
+// connections that take their place.
+func TestActiveConnections(t *testing.T) {
+	f := newFixture(t, 100*connBytes, 50)
+	f.cfg.Active = 2
+	reserve := func(h *Holder) ([]*Holder, Decision) { return f.Reserve(h, Request, 1, f.now) }
+	for range 10 {
+		f.EndRequest(f.connect("idle"), f.now)
+	}
+	slow, served, waiting := f.connect("a"), f.connect("b"), f.connect("c")
+	for _, h := range []*Holder{slow, served} {
+		victims, d := reserve(h)
+		assertVictims(t, "room", victims, d, Granted)
+		f.SetPhase(h, Serving, f.now)
+	}
+	f.SetPhase(slow, Answering, f.now)
+	victims, d := reserve(waiting)
+	assertVictims(t, "all active", victims, d, Wait)
+	f.now += noConnStall
+	victims, d = reserve(waiting)
+	assertVictims(t, "a slow reader", victims, d, Wait, slow)
+	victims, d = reserve(waiting)
+	assertVictims(t, "while it ends", victims, d, Wait)
+	f.Close(slow)
+	victims, d = reserve(waiting)
+	assertVictims(t, "after its end", victims, d, Granted)
+}
--- a/pkg/reserver/victim.go
+++ b/pkg/reserver/victim.go
@@ -9,7 +9,9 @@
 	isTrusted bool
 	// conn and large tell whether a connection or bytes beyond small requests are needed.
 	conn, large bool
-	now         clock.Millis
+	// active tells whether a connection with a request has to end.
+	active bool
+	now    clock.Millis
 }
 
 // victim returns the holder that ends first, nil if none may. Holders that are halfOpen end first.
@@ -20,7 +22,7 @@
 	var best *Holder
 	var bestRank rank
 	for h := range b.holders {
-		if h.closed || (h.IsTrusted && !s.isTrusted) || (h.ending && !s.conn) || (s.large && h.sum <= b.cfg.ConnBytes) {
+		if h.closed || (h.IsTrusted && !s.isTrusted) || (h.ending && (!s.conn || s.active)) || (s.active && !h.isActive) || (s.large && h.sum <= b.cfg.ConnBytes) {
 			continue
 		}
 		r, ok := h.rank(s)
