balancer: requests leave silent servers also for one that must warm up

Second attempts go to warm servers with a free slot only, and since asks for them no longer count as requests, so did those that leave a server that has fallen silent. Most objects have one warm server, and the first attempt is not expected to be answered then. TestSilentServerIsLeftForOneThatMustWarmUp failed before.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -94,6 +94,9 @@
 	// takes the work of several requests, and has cost others more than it brought. A server
 	// that has just started gets none either: the few requests that it takes are others'.
 	Second bool
+	// LeavesSilent marks a second attempt of a request whose server has fallen silent. It may
+	// go to a server that must warm up: the first attempt is not expected to be answered.
+	LeavesSilent bool
 }
 
 // Choice is the result of a placement decision.
@@ -318,7 +321,7 @@
 	choice.Stated, choice.Pace = best.server.stated.Load(), b.observer.Pace(&best.server.stated, now)
 	choice.StatedAge, _ = best.server.stated.Age(now)
 	if req.Second {
-		if !best.warm || best.server.isCold(now) || best.queueDelay > 0 || p.standingQueue.isStanding(now) || best.estimatedLatency > maxTimeLeftFactor*float64(req.TimeLeft) {
+		if (!best.warm && !req.LeavesSilent) || best.server.isCold(now) || best.queueDelay > 0 || p.standingQueue.isStanding(now) || best.estimatedLatency > maxTimeLeftFactor*float64(req.TimeLeft) {
 			return Choice{Refused: true, Reason: ReasonBusy, RetryAfter: minRetryAfter}
 		}
 		choice.wait, choice.Second = &wait{}, true
--- a/pkg/hoster/second.go
+++ b/pkg/hoster/second.go
@@ -47,7 +47,7 @@
 	}
 	// The request was admitted with its first attempt. Asking for a second one, which happens
 	// again and again, must count neither in the admission nor as a wait.
-	req.Second = true
+	req.Second, req.LeavesSilent = true, suspected
 	c := h.balancer.Choose(req, now)
 	if c.Refused {
 		return steerer.SecondChoice{Verdict: steerer.SecondNoServer}
--- a/pkg/hoster/second_test.go
+++ b/pkg/hoster/second_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// suspectFirst lets the server of the first attempt leave two requests unanswered.
+func (f *secondFixture) suspectFirst() {
+	f.balancer.Tick(0)
+	for f.inFlightAt(f.first.Server.ID) < 2 {
+		f.chooseServer(balancer.Request{Service: "desk", Class: "look", TargetLatency: 200, TimeLeft: 2000, Repeatable: true})
+	}
+	for range 10 {
+		// A longer pause between ticks would count as one of the host itself.
+		f.clock.Advance(100)
+		f.balancer.Tick(f.clock.Clock().Now())
+	}
+}
+
 func (f *secondFixture) assertVerdict(t *testing.T, step string, want steerer.SecondVerdict) {
 	t.Helper()
 	if got := f.chooseSecond(f.req, f.first, f.waited).Verdict; got != want {
@@ -72,15 +85,7 @@
 func TestSuspectedServerIsLeft(t *testing.T) {
 	withSecond(t, func(f *secondFixture) {
 		f.countRequests(19) // too few for a second attempt
-		f.balancer.Tick(0)
-		for f.inFlightAt(f.first.Server.ID) < 2 {
-			f.chooseServer(balancer.Request{Service: "desk", Class: "look", TargetLatency: 200, TimeLeft: 2000, Repeatable: true})
-		}
-		for range 10 {
-			// A longer pause between ticks would count as one of the host itself.
-			f.clock.Advance(100)
-			f.balancer.Tick(f.clock.Clock().Now())
-		}
+		f.suspectFirst()
 		for range 3 {
 			f.assertVerdict(t, "server suspected", steerer.SecondAllowed)
 		}
@@ -180,3 +185,15 @@
 		f.assertVerdict(t, "other server warm", steerer.SecondAllowed)
 	})
 }
+
+// Requests that wait at a silent server must also get away when no other server is warm for
+// their object.
+func TestSilentServerIsLeftForOneThatMustWarmUp(t *testing.T) {
+	withSecond(t, func(f *secondFixture) {
+		f.countRequests(300)
+		f.req.Object = "o"
+		f.assertVerdict(t, "slow server", steerer.SecondNoServer)
+		f.suspectFirst()
+		f.assertVerdict(t, "silent server", steerer.SecondAllowed)
+	})
+}
