--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// Guards against slow bodies that outlast others, and against bodies that end in calm.
+// Guards against slow bodies that outlast others, and against bodies that end although there is room.
 func TestLeastProgressEndsFirst(t *testing.T) {
 	f := newFixture(t, 100*connBytes, 50)
 	stopped, dripping, fast, other := f.hold("a", 15*connBytes), f.hold("b", 15*connBytes), f.hold("c", 15*connBytes), f.hold("d", 15*connBytes)
@@ -205,7 +205,7 @@
 	f.receive(stopped, progressStep)
 	f.now += 5 * clock.Second
 	victims, d := f.Reserve(fast, Body, 8*connBytes, f.now)
-	assertVictims(t, "in calm", victims, d, Granted)
+	assertVictims(t, "with room left", victims, d, Granted)
 	victims, d = f.Reserve(fast, Body, 5*connBytes, f.now)
 	assertVictims(t, "short of room", victims, d, Wait, dripping)
 	f.closeAll(victims)
