balancer: loads count only for servers that state a pace

What was seen on reading the change: the counts that servers of all deployments state were used, and with them the rule for old reports, although nothing there calls for it.

Change: a statement without a pace is ignored, so that such deployments are served as before. TestStatedLoad has the case; the other cases state a pace now.

--- a/pkg/balancer/load.go
+++ b/pkg/balancer/load.go
@@ -54,7 +54,14 @@
 
 // recordLoad records a load that a server has stated to this host. It is shared with others
 // if it differs from what they expect.
+//
+// Loads count only for servers that state a pace, because they share their machines. For the
+// others the requests that hosts report are enough: with stated counts, plays of two
+// deployments without paces showed no gain.
 func (b *Balancer) recordLoad(s *server, l observer.Load, now clock.Millis) {
+	if l.Pace == 0 {
+		return
+	}
 	difference := math.Abs(float64(l.Requests() - s.localInFlight - s.remoteInFlight))
 	unexpected := l.Waiting > 0 || b.observer.IsPaceUnexpected(&s.stated, l.Pace, now) || difference > sharedLoadDifference*float64(s.Slots)
 	if !b.observer.Record(&s.stated, l, s.localInFlight, now) {
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -27,7 +27,7 @@
 }
 
 // The number of requests at a server follows what it says, for as long as that is newer than
-// the reports of other hosts and of the same start.
+// the reports of other hosts and of the same start, if the server states a pace.
 func TestStatedLoad(t *testing.T) {
 	for name, c := range map[string]struct {
 		load observer.Load
@@ -36,15 +36,16 @@
 		want int
 	}{
 		"silent":                   {observer.Load{}, nil, 1010, 4},
-		"fewer than reported":      {observer.Load{Running: 1, Slots: 4}, nil, 1010, 1},
-		"more than reported":       {observer.Load{Running: 4, Waiting: 3, Slots: 4}, nil, 1010, 7},
-		"overstated":               {observer.Load{Running: 4, Waiting: 1e6, Slots: 4}, nil, 1010, 12},
-		"older than a statement's": {observer.Load{Running: 1, Slots: 4}, nil, 1001 + observer.MaxLoadAge, 4},
-		"older than a report": {observer.Load{Running: 1, Slots: 4}, func(b *Balancer) {
+		"without a pace":           {observer.Load{Running: 1, Slots: 4}, nil, 1010, 4},
+		"fewer than reported":      {observer.Load{Running: 1, Slots: 4, Pace: 1}, nil, 1010, 1},
+		"more than reported":       {observer.Load{Running: 4, Waiting: 3, Slots: 4, Pace: 1}, nil, 1010, 7},
+		"overstated":               {observer.Load{Running: 4, Waiting: 1e6, Slots: 4, Pace: 1}, nil, 1010, 12},
+		"older than a statement's": {observer.Load{Running: 1, Slots: 4, Pace: 1}, nil, 1001 + observer.MaxLoadAge, 4},
+		"older than a report": {observer.Load{Running: 1, Slots: 4, Pace: 1}, func(b *Balancer) {
 			b.SetLoadReport("other", LoadReport{InFlight: map[string]int{"a": 4}}, 1090)
 			b.Tick(1100)
 		}, 1100, 4},
-		"another start": {observer.Load{Running: 1, Slots: 4}, func(b *Balancer) {
+		"another start": {observer.Load{Running: 1, Slots: 4, Pace: 1}, func(b *Balancer) {
 			b.SetServers([]Server{{ID: "a", Service: "desk", Region: "n", Slots: 4, StartUnixMs: 8}})
 		}, 1010, 4},
 	} {
@@ -97,8 +98,8 @@
 func TestSharedLoadsKeepOwnRequests(t *testing.T) {
 	withLoads(t, func(t *testing.T, a *Balancer, sa *server) {
 		withLoads(t, func(t *testing.T, other *Balancer, _ *server) {
-			other.RecordLoad("a", observer.Load{Running: 4, Waiting: 1, Slots: 4}, 980)
-			a.RecordLoad("a", observer.Load{Running: 1, Waiting: 1, Slots: 4}, 1000)
+			other.RecordLoad("a", observer.Load{Running: 4, Waiting: 1, Slots: 4, Pace: 1}, 980)
+			a.RecordLoad("a", observer.Load{Running: 1, Waiting: 1, Slots: 4, Pace: 1}, 1000)
 			other.ApplyLoads(a.LoadsSince(0, 1000), 1010)
 			for range 3 {
 				a.StartAttempt(Choice{Server: sa.Server}, Request{}, 1015)
