steerer, reserver: second attempts take a descriptor of the budget

A second attempt opens a second connection to a server, which nothing counted, so that a crowd of slow requests could take more descriptors than the budget has. It is reserved now, ends no other connection, and without room there is no second attempt (TestSecondForward). Also: the last wait for a new connection is followed by a try.

--- a/pkg/accepter/accepter.go
+++ b/pkg/accepter/accepter.go
@@ -27,7 +27,7 @@
 	maxWait       = time.Second
 	maxAcceptWait = 20 * time.Millisecond
 	// acceptTries is the number of times that room is sought for a new connection.
-	acceptTries = 3
+	acceptTries = 4
 	// retryInterval is the time after which room is sought again for a request. All waiters
 	// are not woken for each byte that comes free.
 	retryInterval = 20 * time.Millisecond
@@ -137,7 +137,7 @@
 	}
 	from := reserver.Client{Address: address, IsTrusted: c.cfg.IsTrusted != nil && c.cfg.IsTrusted(address), Stop: c.stop}
 	var changed <-chan struct{}
-	for range acceptTries {
+	for try := 1; ; try++ {
 		h, victims, d := c.cfg.Budget.Open(from, c.cfg.Clock.Now())
 		stopAll(victims, true)
 		c.holder = h
@@ -145,12 +145,11 @@
 			return d == reserver.Granted
 		}
 		// The first wait is skipped: room may have come free before changed was set.
-		if changed != nil && !waitFor(changed, maxAcceptWait) {
+		if try == acceptTries || changed != nil && !waitFor(changed, maxAcceptWait) {
 			return false
 		}
 		changed = c.cfg.Budget.Changed()
 	}
-	return false
 }
 
 func stopAll(victims []*reserver.Holder, atOnce bool) {
@@ -218,6 +217,17 @@
 	return nil
 }
 
+// TryForward reserves a second connection to a server for the current request, and reports
+// whether there is room. ReleaseForward gives it back before the request ends.
+func (c *Conn) TryForward() bool { return c == nil || c.cfg.Budget.TryForward(c.holder) }
+
+// ReleaseForward gives back what TryForward has reserved.
+func (c *Conn) ReleaseForward() {
+	if c != nil {
+		c.cfg.Budget.ReleaseForward(c.holder)
+	}
+}
+
 // GrowReceiveBuffer gives the connection its large receive buffer for the current request, if
 // there is room.
 func (c *Conn) GrowReceiveBuffer() {
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -106,7 +106,7 @@
 	total  int64
 	ending int64
 	conns  int
-	// forwarded is the number of requests that take a connection to a server.
+	// forwarded is the number of connections to servers that requests take.
 	forwarded int
 	// active is the number of holders with a request, and activeEnding that of those which end.
 	active, activeEnding int
@@ -137,8 +137,8 @@
 	// ending is set once the holder must end, and closed once it holds no connection.
 	ending, closed bool
 	phase          Phase
-	// isForwarded is set while a request takes a connection to a server.
-	isForwarded bool
+	// forwards is the number of connections to servers that the request takes.
+	forwards int
 	// isActive is set from the reservation of a request to its end.
 	isActive bool
 	// hasServed is set after the first complete request.
@@ -221,7 +221,7 @@
 func (b *Budget) Forward(h *Holder, now clock.Millis) (victims []*Holder, d Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.ending || h.isForwarded || !b.isOpen(h) {
+	if h.ending || h.forwards > 0 || !b.isOpen(h) {
 		return nil, Denied
 	}
 	if b.conns+b.forwarded >= b.cfg.Descriptors {
@@ -233,18 +233,39 @@
 		b.end(v)
 		b.closeConn(v)
 	}
-	h.isForwarded = true
+	h.forwards = 1
 	b.forwarded++
 	return victims, Granted
 }
 
-func (b *Budget) endForward(h *Holder) {
-	if h.isForwarded {
-		h.isForwarded = false
+// TryForward reserves one more connection to a server for a request that has one, if there is
+// room, and ends no other holder.
+func (b *Budget) TryForward(h *Holder) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.ending || h.forwards == 0 || b.conns+b.forwarded >= b.cfg.Descriptors {
+		return false
+	}
+	h.forwards++
+	b.forwarded++
+	return true
+}
+
+// ReleaseForward gives back a connection that TryForward has reserved. EndRequest does so, too.
+func (b *Budget) ReleaseForward(h *Holder) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.forwards > 1 {
+		h.forwards--
 		b.forwarded--
 	}
 }
 
+func (b *Budget) endForward(h *Holder) {
+	b.forwarded -= h.forwards
+	h.forwards = 0
+}
+
 // Reserve reserves bytes for a holder, as Open does for a connection. The victims are given time
 // for a refusal; they keep what they hold until they release it.
 func (b *Budget) Reserve(h *Holder, use Use, n int64, now clock.Millis) (victims []*Holder, d Decision) {
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -72,9 +72,7 @@
 		if !h.closed {
 			conns++
 		}
-		if h.isForwarded {
-			forwarded++
-		}
+		forwarded += h.forwards
 		if h.isActive {
 			active++
 		}
@@ -125,6 +123,8 @@
 				}
 			},
 			"forward":  func(t *rapid.T) { _, _ = f.Forward(holder(t), f.now) },
+			"second":   func(t *rapid.T) { f.TryForward(holder(t)) },
+			"one less": func(t *rapid.T) { f.ReleaseForward(holder(t)) },
 			"release":  func(t *rapid.T) { f.Release(holder(t), use.Draw(t, "use"), bytes.Draw(t, "bytes")) },
 			"end":      func(t *rapid.T) { f.EndRequest(holder(t), f.now) },
 			"close":    func(t *rapid.T) { f.closeAll([]*Holder{holder(t)}) },
@@ -265,6 +265,30 @@
 	assertVictims(t, "descriptor of the reader that ended", victims, d, Granted)
 }
 
+// Guards against second attempts that take descriptors beyond the limit.
+func TestSecondForward(t *testing.T) {
+	f := newFixture(t, 100*connBytes, 3) // with 4 descriptors
+	h := f.connect("a")
+	if f.TryForward(h) {
+		t.Error("a second connection without a first one")
+	}
+	_, d := f.Forward(h, f.now)
+	assertVictims(t, "first", nil, d, Granted)
+	if !f.TryForward(h) {
+		t.Error("no second connection with 2 of 4 descriptors in use")
+	}
+	f.connect("b")
+	if f.TryForward(h) {
+		t.Error("a connection beyond the descriptors")
+	}
+	f.ReleaseForward(h)
+	if !f.TryForward(h) {
+		t.Error("no connection after one was given back")
+	}
+	f.EndRequest(h, f.now)
+	f.assertSound()
+}
+
 // Guards against strangers that keep other hosts out.
 func TestTrustedClients(t *testing.T) {
 	f := newFixture(t, 100*connBytes, 2)
--- a/pkg/steerer/second.go
+++ b/pkg/steerer/second.go
@@ -11,6 +11,7 @@
 	"catkindyke/pkg/clock"
 	"catkindyke/pkg/courier"
 	"catkindyke/pkg/observer"
+	"catkindyke/pkg/screener"
 )
 
 var (
@@ -33,6 +34,8 @@
 	SecondLater SecondVerdict = "later"
 	// SecondNoServer means that no other server is expected to answer in time.
 	SecondNoServer SecondVerdict = "no_server"
+	// SecondNoRoom means that the host has no descriptor for a second connection.
+	SecondNoRoom SecondVerdict = "no_room"
 )
 
 // SecondChoice is the decision on a second attempt.
@@ -245,7 +248,15 @@
 	req := s.balancerRequest(c, timeLeft)
 	req.AttemptedServers = append(slices.Clone(c.attemptedServers), r.first.choice.Server.ID)
 	r.asks++
+	held := screener.Held(c.r.Context())
+	if !held.TryForward() {
+		s.cfg.Meter.Add("second_attempts_"+string(SecondNoRoom), 1)
+		return false
+	}
 	d := s.cfg.ChooseSecond(req, r.first.choice, s.cfg.Clock.Now()-r.start)
+	if d.Verdict != SecondAllowed {
+		held.ReleaseForward()
+	}
 	if d.Verdict == SecondLater {
 		r.delay = d.RetryIn
 		return false
