--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -189,9 +189,9 @@
 	hashCounter uint64
 	// newlySuspected are the servers suspected since the last call of TakeSuspected.
 	newlySuspected []string
-	// putBack counts the requests that were refused only because more urgent ones or other
+	// deprioritized counts the requests that were refused only because more urgent ones or other
 	// workspaces went first.
-	putBack int64
+	deprioritized int64
 }
 
 // LoadReport is the load that another host reports.
@@ -392,9 +392,9 @@
 	d.add(now)
 }
 
-// PutBack returns the number of requests that were refused only because more urgent ones or
+// Deprioritized returns the number of requests that were refused only because more urgent ones or
 // those of other workspaces went first.
-func (b *Balancer) PutBack() int64 { return b.putBack }
+func (b *Balancer) Deprioritized() int64 { return b.deprioritized }
 
 // Demands returns this host's number of requests per second by service.
 func (b *Balancer) Demands(now clock.Millis) map[string]float64 {
--- a/pkg/balancer/waiting.go
+++ b/pkg/balancer/waiting.go
@@ -54,7 +54,7 @@
 	excess := excessOver(p.admitter.Limit(ask, now), req, best)
 	p.admitter.Record(ask, excess == 0, now)
 	if excess > 0 && excessOver(ask.Limit, req, best) == 0 {
-		b.putBack++
+		b.deprioritized++
 	}
 	return excess
 }
--- a/pkg/balancer/waiting_test.go
+++ b/pkg/balancer/waiting_test.go
@@ -31,8 +31,8 @@
 						b.StartAttempt(c, patient, now)
 					}
 				}
-				if admitted != 40 || b.PutBack() != 0 {
-					t.Errorf("%d of 40 patient requests are admitted and %d put back, want all and none", admitted, b.PutBack())
+				if admitted != 40 || b.Deprioritized() != 0 {
+					t.Errorf("%d of 40 patient requests are admitted and %d deprioritized, want all and none", admitted, b.Deprioritized())
 				}
 			})
 		})
--- a/pkg/courier/courier.go
+++ b/pkg/courier/courier.go
@@ -274,7 +274,7 @@
 // Read implements io.Reader.
 func (b bodyUntilEnd) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) && !b.conn.hasEndedOrderly() {
+	if errors.Is(err, io.EOF) && !b.conn.hasEndedInOrder() {
 		err = fmt.Errorf("%w: the connection did not end in order", ErrCutResponse)
 	}
 	return n, err
--- a/pkg/courier/pool.go
+++ b/pkg/courier/pool.go
@@ -103,11 +103,11 @@
 	c.total = c.accepted + n
 }
 
-// hasEndedOrderly reports, after the end of the input, whether the server ended the connection
+// hasEndedInOrder reports, after the end of the input, whether the server ended the connection
 // in order, as far as the host can tell: it has got the whole request, no read or write has
 // failed, and the connection was not reset. The socket reports a reset once, either to a read
 // or to a write that goes on concurrently; the other one sees a plain end.
-func (c *connection) hasEndedOrderly() bool {
+func (c *connection) hasEndedInOrder() bool {
 	// Nothing more is sent: a write that still waits is part of an unfinished request.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.mu.Lock()
--- a/pkg/hoster/hoster.go
+++ b/pkg/hoster/hoster.go
@@ -323,9 +323,9 @@
 	h.balancer.Tick(now)
 	h.balancer.SetLiveHosts(h.fleet.liveHosts(now))
 	h.rationer.ExpireHosts(now)
-	unreachable, suspected, paceHold, putBack := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected(), int64(h.balancer.PaceHold()), h.balancer.PutBack()
+	unreachable, suspected, paceHold, deprioritized := h.balancer.UnreachableServers(now), h.balancer.TakeSuspected(), int64(h.balancer.PaceHold()), h.balancer.Deprioritized()
 	h.mu.Unlock()
-	h.cfg.Meter.Set("requests_put_back", putBack)
+	h.cfg.Meter.Set("requests_deprioritized", deprioritized)
 	for _, id := range suspected {
 		h.cfg.Meter.Add("servers_suspected", 1)
 		h.cfg.Log.Info().Str("server", id).Msg("server_suspected")
