--- /dev/null
+++ b/review/_stand2/client.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// readAnswer reads an answer and describes it.
+func readAnswer(c net.Conn) string {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return fmt.Sprintf("no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	whole := "whole body"
+	if err != nil {
+		whole = fmt.Sprintf("body cut: %v", err)
+	}
+	return fmt.Sprintf("status %d, signature %q, %d bytes, %s", resp.StatusCode, resp.Header.Get(hSign), n, whole)
+}
