--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -92,14 +93,33 @@
 	w.broken = append(w.broken, fmt.Sprintf(format, args...))
 }
 
-// freeAddress returns an address with a free port.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// Ports of a host. Each host has an IP address of its own.
+const frontPort, readyPort, controlPort, directoryPort, metricsPort = 8388, 8384, 8381, 8383, 9464
+
+// nextIP is the number of the next loopback address that is tried.
+var nextIP = os.Getpid() % 60000
+
+// freeIP returns a loopback address on which all ports of a host are free.
+func freeIP() (string, error) {
+	for range 1000 {
+		nextIP++
+		ip := fmt.Sprintf("127.%d.%d.%d", 20+nextIP/60000%200, 1+nextIP/240%250, 1+nextIP%240)
+		if arePortsFree(ip) {
+			return ip, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no loopback address with free ports")
+}
+
+func arePortsFree(ip string) bool {
+	for _, port := range []int{frontPort, readyPort, controlPort, directoryPort, metricsPort} {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
 }
 
 // addHost writes the settings of a host and starts it. store is the address under which it
@@ -110,14 +130,13 @@
 
 // addHostIn is addHost for a host in a given zone.
 func (w *world) addHostIn(zone string, i int, store string) (*host, error) {
-	// The port of the metrics is fixed, so that each host has an address of its own.
-	ip := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, i+1)
+	ip, err := freeIP()
+	if err != nil {
+		return nil, err
+	}
 	h := &host{name: fmt.Sprintf("front-%s-%d", zone, i+1)}
-	for _, a := range []*string{&h.front, &h.ready, &h.directory, &h.control} {
-		var err error
-		if *a, err = freeAddress(ip); err != nil {
-			return nil, err
-		}
+	for a, port := range map[*string]int{&h.front: frontPort, &h.ready: readyPort, &h.directory: directoryPort, &h.control: controlPort} {
+		*a = fmt.Sprintf("%s:%d", ip, port)
 	}
 	h.settings = filepath.Join(w.dir, h.name+".toml")
 	text := fmt.Sprintf(`Node = %q
