--- a/review/_stand2/client.go
+++ b/review/_stand2/client.go
@@ -22,3 +22,16 @@
 	}
 	return fmt.Sprintf("status %d, signature %q, %d bytes, %s", resp.StatusCode, resp.Header.Get(hSign), n, whole)
 }
+
+// readStatus reads an answer and returns its status.
+func readStatus(c net.Conn) string {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "no answer"
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return "cut"
+	}
+	return fmt.Sprint(resp.StatusCode)
+}
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -31,6 +31,9 @@
 	hNotRun = "X-Catkindyke-Not-Executed"
 )
 
+// slots is the number of slots of each server.
+var slots = 8
+
 // coldStartS and coldPerS are those of the services.
 const coldStartS, coldPerS = 3.0, 5.0
 
@@ -74,10 +77,24 @@
 		return nil, err
 	}
 	w.address = l.Addr().String()
-	go func() { _ = http.Serve(l, w.store) }()
+	go func() { _ = http.Serve(l, http.HandlerFunc(w.serveStore)) }()
 	return w, nil
 }
 
+// serveStore serves a call to the store. The project's emulator adds a header that our pages
+// don't have.
+func (w *world) serveStore(rw http.ResponseWriter, r *http.Request) {
+	w.store.ServeHTTP(pageWriter{rw}, r)
+}
+
+type pageWriter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter. The emulator calls it in each answer.
+func (p pageWriter) WriteHeader(status int) {
+	p.Header().Del("Store-Era")
+	p.ResponseWriter.WriteHeader(status)
+}
+
 // note writes a line to the record.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
@@ -364,7 +381,7 @@
 // putColdServer writes the entry of a server that stays cold for a time.
 func (w *world) putColdServer(s *server, state string, seq, coldLeftMs int) {
 	raw, err := json.Marshal(map[string]any{
-		"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": 8, "State": state,
+		"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": slots, "State": state,
 		"ColdLeftMs": coldLeftMs, "Seq": seq, "born": s.born.UnixMilli(),
 	})
 	if err != nil {
