--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -231,6 +231,16 @@
 
 // startHost starts the process of a host with the command of the deploy file.
 func (w *world) startHost(h *host) error {
+	if h.cmd != nil {
+		// Bootstrap is true only when the whole system starts for the first time.
+		text, err := os.ReadFile(h.settings)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(h.settings, []byte(strings.Replace(string(text), "Bootstrap = true", "Bootstrap = false", 1)), 0o600); err != nil {
+			return err
+		}
+	}
 	log, err := os.OpenFile(filepath.Join(w.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
